--- /dev/null
+++ b/core/src/main/java/io/nutmegseam/core/backend/package-info.java
@@ -0,0 +1,2 @@
+/** Backend servers as interfaces: model engines and plain services. */
+package io.nutmegseam.core.backend;
--- /dev/null
+++ b/core/src/main/java/io/nutmegseam/core/coldstart/OwnerDecision.java
@@ -0,0 +1,19 @@
+package io.nutmegseam.core.coldstart;
+
+/** What the owner of a server should do next. */
+public sealed interface OwnerDecision {
+  /**
+   * Load a unit as soon as the weight-store budget permits.
+   *
+   * @param demand the waiting requests
+   */
+  record WantLoad(Demand demand) implements OwnerDecision {}
+
+  /**
+   * Unload a unit.
+   *
+   * @param unit the model or adapter
+   * @param reason why, in plain words
+   */
+  record Unload(String unit, String reason) implements OwnerDecision {}
+}
--- /dev/null
+++ b/core/src/main/java/io/nutmegseam/core/json/JsonValue.java
@@ -0,0 +1,53 @@
+package io.nutmegseam.core.json;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A JSON value with the place where it stands.
+ *
+ * @param value a {@code Map<String, JsonValue>}, {@code List<JsonValue>}, {@code String}, {@code
+ *     Long}, {@code Double}, {@code Boolean} or null
+ * @param line line of the value, from 1
+ * @param column column of the value, from 1
+ */
+public record JsonValue(Object value, int line, int column) {
+  /** Returns whether this is an object. */
+  public boolean isObject() {
+    return value instanceof Map;
+  }
+
+  /** Returns whether this is an array. */
+  public boolean isArray() {
+    return value instanceof List;
+  }
+
+  /** Returns the fields of an object, in document order. */
+  @SuppressWarnings("unchecked")
+  public Map<String, JsonValue> fields() {
+    return (Map<String, JsonValue>) value;
+  }
+
+  /** Returns the items of an array. */
+  @SuppressWarnings("unchecked")
+  public List<JsonValue> items() {
+    return (List<JsonValue>) value;
+  }
+
+  /** Returns the JSON type of the value in words. */
+  public String typeName() {
+    if (value == null) {
+      return "null";
+    }
+    if (isObject()) {
+      return "object";
+    }
+    if (isArray()) {
+      return "array";
+    }
+    if (value instanceof String) {
+      return "string";
+    }
+    return value instanceof Boolean ? "boolean" : "number";
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/nutmegseam/core/memory/MemoryLedger.java
@@ -0,0 +1,173 @@
+package io.nutmegseam.core.memory;
+
+import io.nutmegseam.core.backend.Inventory;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+
+/**
+ * What a backend server's accelerator memory holds or may hold. Memory is reserved before a load is
+ * ordered and freed only when the engine's inventory proves that the unit is not there. Immutable.
+ */
+public final class MemoryLedger {
+  private final long capacityBytes;
+  private final Map<String, Entry> entries;
+
+  /** What is known about a unit. */
+  public enum State {
+    /** A load was ordered, or its outcome is unknown. */
+    RESERVED,
+    /** The inventory shows the unit. */
+    LOADED,
+    /** An unload was ordered; the unit may still be there. */
+    UNLOADING
+  }
+
+  /**
+   * One unit.
+   *
+   * @param memoryBytes memory that it holds or may hold, in bytes
+   * @param state what is known about it
+   * @param orderedAtMillis monotonic time of the last order for it
+   */
+  public record Entry(long memoryBytes, State state, long orderedAtMillis) {}
+
+  private MemoryLedger(long capacityBytes, Map<String, Entry> entries) {
+    this.capacityBytes = capacityBytes;
+    this.entries = entries;
+  }
+
+  /**
+   * Creates an empty ledger.
+   *
+   * @param capacityBytes accelerator memory of the server, in bytes
+   */
+  public static MemoryLedger of(long capacityBytes) {
+    return new MemoryLedger(capacityBytes, Map.of());
+  }
+
+  /** Returns the ledger with another capacity. */
+  public MemoryLedger withCapacity(long newCapacityBytes) {
+    return new MemoryLedger(newCapacityBytes, entries);
+  }
+
+  /**
+   * Reserves memory for a load.
+   *
+   * @param unit the model or adapter
+   * @param memoryBytes memory that it needs, in bytes
+   * @param nowMillis monotonic time of the order
+   * @return the ledger with the reservation, or empty if the unit is there already or does not fit
+   */
+  public Optional<MemoryLedger> reserve(String unit, long memoryBytes, long nowMillis) {
+    if (entries.containsKey(unit) || memoryBytes > freeBytes()) {
+      return Optional.empty();
+    }
+    return Optional.of(with(unit, new Entry(memoryBytes, State.RESERVED, nowMillis)));
+  }
+
+  /**
+   * Notes that an unload is ordered. The memory stays taken.
+   *
+   * @param unit the model or adapter
+   * @param nowMillis monotonic time of the order
+   */
+  public MemoryLedger unloading(String unit, long nowMillis) {
+    Entry entry = entries.get(unit);
+    return entry == null
+        ? this
+        : with(unit, new Entry(entry.memoryBytes(), State.UNLOADING, nowMillis));
+  }
+
+  /**
+   * Frees the reservation of a load that certainly was not accepted.
+   *
+   * @param unit the model or adapter
+   */
+  public MemoryLedger refused(String unit) {
+    Entry entry = entries.get(unit);
+    return entry != null && entry.state() == State.RESERVED ? without(unit) : this;
+  }
+
+  /**
+   * Takes in an inventory. An entry that the inventory does not show is freed unless an order for
+   * it may still arrive.
+   *
+   * @param inventory what the engine has
+   * @param requestedAtMillis monotonic time at which the inventory was asked for
+   * @param settleMillis time within which an order arrives or is lost
+   */
+  public MemoryLedger settle(Inventory inventory, long requestedAtMillis, long settleMillis) {
+    Map<String, Entry> next = new HashMap<>();
+    for (Inventory.Item item : inventory.items()) {
+      next.put(item.unit(), settled(item, entries.get(item.unit()), requestedAtMillis));
+    }
+    entries.forEach(
+        (unit, entry) -> {
+          boolean open =
+              entry.state() != State.LOADED
+                  && requestedAtMillis < entry.orderedAtMillis() + settleMillis;
+          if (open) {
+            next.putIfAbsent(unit, entry);
+          }
+        });
+    return new MemoryLedger(capacityBytes, next);
+  }
+
+  private static Entry settled(Inventory.Item item, Entry known, long requestedAtMillis) {
+    long memoryBytes =
+        known == null ? item.memoryBytes() : Math.max(known.memoryBytes(), item.memoryBytes());
+    long orderedAtMillis = known == null ? requestedAtMillis : known.orderedAtMillis();
+    boolean unloading =
+        item.state() == Inventory.ItemState.UNLOADING
+            || (known != null && known.state() == State.UNLOADING);
+    if (unloading) {
+      return new Entry(memoryBytes, State.UNLOADING, orderedAtMillis);
+    }
+    State state = item.state() == Inventory.ItemState.LOADED ? State.LOADED : State.RESERVED;
+    return new Entry(memoryBytes, state, orderedAtMillis);
+  }
+
+  /** Returns the server's accelerator memory, in bytes. */
+  public long capacityBytes() {
+    return capacityBytes;
+  }
+
+  /** Returns memory that nothing holds or may hold, in bytes. */
+  public long freeBytes() {
+    return capacityBytes - entries.values().stream().mapToLong(Entry::memoryBytes).sum();
+  }
+
+  /** Returns what is known about a unit. */
+  public Optional<Entry> entry(String unit) {
+    return Optional.ofNullable(entries.get(unit));
+  }
+
+  /** Returns every unit, by name. */
+  public Map<String, Entry> entries() {
+    return new TreeMap<>(entries);
+  }
+
+  /** Returns the units in a state. */
+  public Set<String> units(State state) {
+    return entries.entrySet().stream()
+        .filter(e -> e.getValue().state() == state)
+        .map(Map.Entry::getKey)
+        .collect(Collectors.toSet());
+  }
+
+  private MemoryLedger with(String unit, Entry entry) {
+    Map<String, Entry> next = new HashMap<>(entries);
+    next.put(unit, entry);
+    return new MemoryLedger(capacityBytes, next);
+  }
+
+  private MemoryLedger without(String unit) {
+    Map<String, Entry> next = new HashMap<>(entries);
+    next.remove(unit);
+    return new MemoryLedger(capacityBytes, next);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/nutmegseam/core/platform/ObjectStore.java
@@ -0,0 +1,24 @@
+package io.nutmegseam.core.platform;
+
+import java.util.Optional;
+
+/** The platform's object store. Calls block until an answer or a timeout. */
+public interface ObjectStore {
+  /**
+   * Writes an object.
+   *
+   * @param key the object's key
+   * @param body the object's text
+   * @throws TableException if there is no usable answer
+   */
+  void put(String key, String body) throws TableException;
+
+  /**
+   * Reads an object.
+   *
+   * @param key the object's key
+   * @return the object's text, or empty if it is not there
+   * @throws TableException if there is no usable answer
+   */
+  Optional<String> get(String key) throws TableException;
+}
--- /dev/null
+++ b/core/src/main/java/io/nutmegseam/core/retry/StrikeBook.java
@@ -0,0 +1,56 @@
+package io.nutmegseam.core.retry;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Counts, for each request fingerprint, the distinct server crashes during which it ran. Entries
+ * expire. Immutable.
+ */
+public final class StrikeBook {
+  private final long retentionMillis;
+  private final Map<String, Map<String, Long>> crashesByFingerprint;
+
+  private StrikeBook(long retentionMillis, Map<String, Map<String, Long>> crashes) {
+    this.retentionMillis = retentionMillis;
+    this.crashesByFingerprint = crashes;
+  }
+
+  /**
+   * Creates an empty book.
+   *
+   * @param retentionMillis time after which a strike is forgotten, in milliseconds
+   */
+  public static StrikeBook of(long retentionMillis) {
+    return new StrikeBook(retentionMillis, Map.of());
+  }
+
+  /**
+   * Notes that a request ran on a server when it crashed.
+   *
+   * @param fingerprint the request's fingerprint
+   * @param crash names the crash, such as server and incarnation
+   * @param nowMillis monotonic time
+   */
+  public StrikeBook strike(String fingerprint, String crash, long nowMillis) {
+    Map<String, Map<String, Long>> next = new HashMap<>();
+    crashesByFingerprint.forEach(
+        (known, crashes) -> {
+          Map<String, Long> fresh = new HashMap<>(crashes);
+          fresh.values().removeIf(atMillis -> atMillis + retentionMillis <= nowMillis);
+          if (!fresh.isEmpty()) {
+            next.put(known, fresh);
+          }
+        });
+    next.computeIfAbsent(fingerprint, k -> new HashMap<>()).putIfAbsent(crash, nowMillis);
+    return new StrikeBook(retentionMillis, next);
+  }
+
+  /** Returns the number of distinct crashes during which a request ran. */
+  public int strikes(String fingerprint, long nowMillis) {
+    return (int)
+        crashesByFingerprint.getOrDefault(fingerprint, Map.of()).values().stream()
+            .filter(atMillis -> atMillis + retentionMillis > nowMillis)
+            .count();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/nutmegseam/core/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Routing: which backend server gets a request. */
+package io.nutmegseam.core.routing;
