--- /dev/null
+++ b/standin/src/main/java/io/nutmegseam/standin/engine/EngineStandin.java
@@ -0,0 +1,222 @@
+package io.nutmegseam.standin.engine;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.nutmegseam.core.backend.Inventory;
+import io.nutmegseam.core.backend.LoadReport;
+import io.nutmegseam.standin.fault.FaultBook;
+import io.nutmegseam.standin.fault.FaultBook.Answer;
+import io.nutmegseam.standin.http.Exchange;
+import io.nutmegseam.standin.http.StandinServer;
+import java.io.IOException;
+import java.time.Clock;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+
+/** The control interface of an engine stand-in, and its life. */
+public final class EngineStandin implements AutoCloseable {
+  /** Fetches the weights of a unit; blocks until they are there. */
+  @FunctionalInterface
+  public interface WeightSource {
+    /** Fetches weights; {@code adapter} says whether the unit is an adapter. */
+    void fetch(boolean adapter) throws IOException, InterruptedException;
+  }
+
+  private final EngineProfile profile;
+  private final WeightSource weights;
+  private final Clock clock;
+  private final FaultBook faults = new FaultBook();
+  private final ExecutorService loaders = Executors.newCachedThreadPool();
+  private final Deque<TimedReport> reports = new ArrayDeque<>();
+  private final EngineMemory memory;
+  private final CompletionApi completions;
+  private final StandinServer server;
+  private String incarnation = UUID.randomUUID().toString();
+  private long epoch;
+  private boolean leaving;
+  private int fencedOrders;
+
+  private record TimedReport(long atMillis, LoadReport report) {}
+
+  /**
+   * Starts the stand-in.
+   *
+   * @param port the port on 127.0.0.1; 0 for any free one
+   * @param profile what kind of engine it plays
+   * @param weights the weight store
+   * @param clock the wall clock
+   */
+  public EngineStandin(int port, EngineProfile profile, WeightSource weights, Clock clock) {
+    this.profile = profile;
+    this.weights = weights;
+    this.clock = clock;
+    this.memory = new EngineMemory(profile, clock.millis());
+    this.completions = new CompletionApi(profile, memory, faults, clock, this::crash);
+    this.server = new StandinServer(port, this::handle);
+  }
+
+  /** Returns the base address. */
+  public String address() {
+    return "http://127.0.0.1:" + server.port();
+  }
+
+  /** Returns the faults. */
+  public FaultBook faults() {
+    return faults;
+  }
+
+  /** Returns what the engine did. */
+  public EngineStats stats() {
+    return memory.stats(clock.millis());
+  }
+
+  /** Returns what is in memory. */
+  public synchronized Inventory inventory() {
+    return new Inventory(incarnation, epoch, leaving, memory.items());
+  }
+
+  /** Returns the number of orders refused for an old fencing number. */
+  public synchronized int fencedOrders() {
+    return fencedOrders;
+  }
+
+  /** Makes the engine say that it is leaving. */
+  public synchronized void setLeaving(boolean value) {
+    leaving = value;
+  }
+
+  /** Loses all state and all connections; the engine is back after its restart time. */
+  public void crash() {
+    synchronized (this) {
+      incarnation = UUID.randomUUID().toString();
+      epoch = 0;
+    }
+    memory.clear(clock.millis());
+    completions.clear();
+    server.setRefusing(true);
+    server.breakConnections();
+    loaders.execute(
+        () -> {
+          try {
+            TimeUnit.MILLISECONDS.sleep(profile.restartMillis());
+          } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+          }
+          server.setRefusing(false);
+        });
+  }
+
+  @Override
+  public void close() {
+    loaders.shutdownNow();
+    server.close();
+  }
+
+  private void handle(Exchange exchange) throws IOException, InterruptedException {
+    String path = exchange.path();
+    switch (path) {
+      case "/control/inventory" ->
+          faults.run("inventory", exchange, () -> Answer.of(200, inventory()));
+      case "/control/claim" -> faults.run("claim", exchange, () -> claim(exchange.bodyJson()));
+      case "/control/load" -> faults.run("load", exchange, () -> load(exchange.bodyJson()));
+      case "/control/unload" -> faults.run("unload", exchange, () -> unload(exchange.bodyJson()));
+      case "/control/load-report" ->
+          faults.run("load-report", exchange, () -> Answer.of(200, laggingReport()));
+      case "/control/leaving" -> {
+        setLeaving(exchange.bodyJson().asBoolean());
+        exchange.json(200, List.of());
+      }
+      case "/standin/faults" -> faults.accept(exchange);
+      case "/standin/stats" -> exchange.json(200, stats());
+      default -> completions.handle(exchange);
+    }
+  }
+
+  private Answer claim(JsonNode order) throws IOException {
+    return passesFence(order) ? Answer.of(200, Map.of()) : fenced();
+  }
+
+  private Answer load(JsonNode order) throws IOException {
+    if (!passesFence(order)) {
+      return fenced();
+    }
+    String unit = order.path("unit").asText();
+    long memoryBytes = order.path("memoryBytes").asLong();
+    if (memory.beginLoad(unit, memoryBytes, clock.millis())) {
+      boolean adapter = !order.path("base").asText().isEmpty();
+      String loadIncarnation = inventory().incarnation();
+      loaders.execute(() -> loadWeights(unit, adapter, loadIncarnation));
+    }
+    return Answer.of(202, Map.of());
+  }
+
+  private void loadWeights(String unit, boolean adapter, String loadIncarnation) {
+    try {
+      if (!memory.isCached(unit)) {
+        weights.fetch(adapter);
+      }
+      if (!adapter) {
+        TimeUnit.MILLISECONDS.sleep(profile.diskLoadMillis());
+      }
+      if (inventory().incarnation().equals(loadIncarnation)) {
+        memory.finishLoad(unit, clock.millis());
+      }
+    } catch (IOException e) {
+      memory.failLoad(unit, clock.millis());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private Answer unload(JsonNode order) throws IOException {
+    if (!passesFence(order)) {
+      return fenced();
+    }
+    memory.beginUnload(order.path("unit").asText(), clock.millis());
+    return Answer.of(202, Map.of());
+  }
+
+  private synchronized boolean passesFence(JsonNode order) {
+    if (!profile.checksFencing()) {
+      return true;
+    }
+    long given = order.path("epoch").asLong();
+    if (given < epoch) {
+      fencedOrders++;
+      return false;
+    }
+    epoch = given;
+    return true;
+  }
+
+  private synchronized Answer fenced() throws IOException {
+    return Answer.of(409, Map.of("epoch", epoch));
+  }
+
+  private synchronized LoadReport laggingReport() {
+    long nowMillis = clock.millis();
+    reports.addLast(new TimedReport(nowMillis, currentReport()));
+    while (reports.size() > 1 && secondIsOldEnough(nowMillis)) {
+      reports.removeFirst();
+    }
+    return reports.getFirst().report();
+  }
+
+  private boolean secondIsOldEnough(long nowMillis) {
+    TimedReport second = reports.stream().skip(1).findFirst().orElseThrow();
+    return nowMillis - second.atMillis() >= profile.reportLagMillis();
+  }
+
+  private LoadReport currentReport() {
+    return new LoadReport(
+        completions.running(),
+        completions.queued(),
+        memory.runningByUnit(),
+        memory.startedByUnit());
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/io/nutmegseam/standin/engine/Generation.java
@@ -0,0 +1,57 @@
+package io.nutmegseam.standin.engine;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** The tokens of one attempt; readers may come late, break off and resume. */
+final class Generation {
+  private final String attempt;
+  private final String prompt;
+  private final List<String> tokens = new ArrayList<>();
+  private boolean done;
+  private boolean cancelled;
+
+  Generation(String attempt, String prompt) {
+    this.attempt = attempt;
+    this.prompt = prompt;
+  }
+
+  String attempt() {
+    return attempt;
+  }
+
+  /** Returns the token at an index; it depends on the prompt alone. */
+  static String token(String prompt, int index) {
+    return Integer.toHexString(prompt.hashCode()) + "-" + index + " ";
+  }
+
+  synchronized void produce(int count, int limit) {
+    for (int i = 0; i < count && tokens.size() < limit; i++) {
+      tokens.add(token(prompt, tokens.size()));
+    }
+    done = tokens.size() >= limit;
+    notifyAll();
+  }
+
+  synchronized void cancel() {
+    cancelled = true;
+    done = true;
+    notifyAll();
+  }
+
+  synchronized boolean isDone() {
+    return done;
+  }
+
+  synchronized boolean isCancelled() {
+    return cancelled;
+  }
+
+  /** Returns the tokens from an index on, once there are some or the generation is done. */
+  synchronized List<String> awaitFrom(int index) throws InterruptedException {
+    while (tokens.size() <= index && !done) {
+      wait();
+    }
+    return tokens.size() <= index ? List.of() : List.copyOf(tokens.subList(index, tokens.size()));
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/io/nutmegseam/standin/fault/FaultBook.java
@@ -0,0 +1,116 @@
+package io.nutmegseam.standin.fault;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.nutmegseam.standin.http.Exchange;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+
+/** The faults in force at one stand-in; replaced as a whole by an HTTP call. */
+public final class FaultBook {
+  private List<FaultRule> rules = List.of();
+
+  /** Replaces the faults with those of a request body, an array of rules. */
+  public void accept(Exchange exchange) throws IOException {
+    List<FaultRule> next = new ArrayList<>();
+    for (JsonNode rule : exchange.bodyJson()) {
+      next.add(
+          new FaultRule(
+              rule.path("target").asText("*"),
+              FaultMode.valueOf(rule.path("mode").asText().toUpperCase(Locale.ROOT)),
+              rule.path("count").asInt(-1),
+              rule.path("delayMillis").asLong(0),
+              rule.path("match").asText("")));
+    }
+    set(next);
+    exchange.json(200, List.of());
+  }
+
+  /** Replaces the faults. */
+  public synchronized void set(List<FaultRule> next) {
+    rules = List.copyOf(next);
+  }
+
+  /**
+   * Takes the fault that hits a call, if there is one.
+   *
+   * @param call name of the call
+   * @param body the request body
+   */
+  public synchronized Optional<FaultRule> take(String call, String body) {
+    for (int i = 0; i < rules.size(); i++) {
+      FaultRule rule = rules.get(i);
+      if (rule.hits(call, body)) {
+        List<FaultRule> next = new ArrayList<>(rules);
+        next.set(i, rule.used());
+        rules = List.copyOf(next);
+        return Optional.of(rule);
+      }
+    }
+    return Optional.empty();
+  }
+
+  /**
+   * Runs a call whose answer is one body under the fault that hits it.
+   *
+   * @param call name of the call
+   * @param exchange the request
+   * @param effect runs the call and returns its answer
+   */
+  public void run(String call, Exchange exchange, Effect effect)
+      throws IOException, InterruptedException {
+    Optional<FaultRule> fault = take(call, exchange.bodyText());
+    FaultMode mode = fault.map(FaultRule::mode).orElse(null);
+    if (mode == null) {
+      send(exchange, effect.run());
+      return;
+    }
+    switch (mode) {
+      case SLOW -> {
+        Thread.sleep(fault.get().delayMillis());
+        send(exchange, effect.run());
+      }
+      case LATE -> {
+        Answer answer = effect.run();
+        Thread.sleep(fault.get().delayMillis());
+        send(exchange, answer);
+      }
+      case REFUSE -> exchange.json(503, List.of("refused"));
+      case DROP, CRASH -> exchange.abort();
+      case CUT -> {
+        Answer answer = effect.run();
+        exchange.respondCut(answer.status(), "application/json", answer.body());
+      }
+      default -> {
+        effect.run();
+        exchange.abort();
+      }
+    }
+  }
+
+  /**
+   * The answer of a call.
+   *
+   * @param status HTTP status
+   * @param body JSON text
+   */
+  public record Answer(int status, String body) {
+    /** Returns an answer with a value encoded as JSON. */
+    public static Answer of(int status, Object value) throws IOException {
+      return new Answer(status, Exchange.JSON.writeValueAsString(value));
+    }
+  }
+
+  /** The effect of a call. */
+  @FunctionalInterface
+  public interface Effect {
+    /** Runs the call and returns its answer. */
+    Answer run() throws IOException, InterruptedException;
+  }
+
+  private static void send(Exchange exchange, Answer answer) {
+    exchange.respond(answer.status(), "application/json", answer.body(), java.util.Map.of());
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/io/nutmegseam/standin/http/package-info.java
@@ -0,0 +1,2 @@
+/** A small HTTP server on Netty whose connections can be cut at any byte. */
+package io.nutmegseam.standin.http;
--- /dev/null
+++ b/standin/src/main/java/io/nutmegseam/standin/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in for the platform: table service, object store, VM list and weight store. */
+package io.nutmegseam.standin.platform;
--- /dev/null
+++ b/standin/src/main/java/io/nutmegseam/standin/service/ServiceStandin.java
@@ -0,0 +1,69 @@
+package io.nutmegseam.standin.service;
+
+import io.nutmegseam.standin.fault.FaultBook;
+import io.nutmegseam.standin.fault.FaultBook.Answer;
+import io.nutmegseam.standin.http.Exchange;
+import io.nutmegseam.standin.http.StandinServer;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** A plain service. Each call that runs is counted under its body, so that repeats are seen. */
+public final class ServiceStandin implements AutoCloseable {
+  private final Map<String, Integer> ledger = new TreeMap<>();
+  private final FaultBook faults = new FaultBook();
+  private final StandinServer server;
+  private final long workMillis;
+
+  /**
+   * Starts the stand-in.
+   *
+   * @param port the port on 127.0.0.1; 0 for any free one
+   * @param workMillis time that a call takes
+   */
+  public ServiceStandin(int port, long workMillis) {
+    this.workMillis = workMillis;
+    this.server = new StandinServer(port, this::handle);
+  }
+
+  /** Returns the base address. */
+  public String address() {
+    return "http://127.0.0.1:" + server.port();
+  }
+
+  /** Returns the faults. */
+  public FaultBook faults() {
+    return faults;
+  }
+
+  /** Returns how often each body ran. */
+  public synchronized Map<String, Integer> ledger() {
+    return new TreeMap<>(ledger);
+  }
+
+  @Override
+  public void close() {
+    server.close();
+  }
+
+  private void handle(Exchange exchange) throws IOException, InterruptedException {
+    switch (exchange.path()) {
+      case "/standin/faults" -> faults.accept(exchange);
+      case "/standin/ledger" -> exchange.json(200, ledger());
+      case "/standin/load" -> exchange.json(200, Map.of("running", 0, "queued", 0));
+      default -> faults.run("call", exchange, () -> work(exchange));
+    }
+  }
+
+  private Answer work(Exchange exchange) throws IOException, InterruptedException {
+    String key = exchange.path() + " " + exchange.bodyText();
+    int times = count(key);
+    Thread.sleep(workMillis);
+    return Answer.of(200, Map.of("path", exchange.path(), "times", times, "lines", List.of(key)));
+  }
+
+  private synchronized int count(String key) {
+    return ledger.merge(key, 1, Integer::sum);
+  }
+}
