--- /dev/null
+++ b/node/src/main/java/io/nutmegseam/node/backend/PlainServiceClient.java
@@ -0,0 +1,93 @@
+package io.nutmegseam.node.backend;
+
+import io.nutmegseam.core.backend.BackendException;
+import io.nutmegseam.core.backend.BackendException.Outcome;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.util.concurrent.TimeUnit;
+import okhttp3.Call;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import okio.ByteString;
+
+/**
+ * Sends calls to plain services. A service proves that it did not run a call by the header {@code
+ * X-Ran: no}; any other status is the service's own answer.
+ */
+public final class PlainServiceClient {
+  private static final String RAN_HEADER = "X-Ran";
+
+  private final OkHttpClient client;
+
+  /**
+   * Creates a client.
+   *
+   * @param client HTTP client; must not retry by itself
+   */
+  public PlainServiceClient(OkHttpClient client) {
+    this.client = client;
+  }
+
+  /**
+   * One call of a plain service.
+   *
+   * @param address base address of the backend server
+   * @param method HTTP method
+   * @param path path within the service
+   * @param contentType content type of the body
+   * @param body request body
+   * @param timeoutMillis longest time to the answer
+   */
+  public record ServiceCall(
+      String address,
+      String method,
+      String path,
+      String contentType,
+      ByteString body,
+      long timeoutMillis) {}
+
+  /**
+   * The whole answer of a call.
+   *
+   * @param status HTTP status
+   * @param contentType content type of the body
+   * @param body answer body
+   */
+  public record ServiceAnswer(int status, String contentType, ByteString body) {}
+
+  /**
+   * Runs a call.
+   *
+   * @param serviceCall the call
+   * @return the whole answer
+   * @throws BackendException if there is no whole answer
+   */
+  public ServiceAnswer run(ServiceCall serviceCall) throws BackendException {
+    boolean hasBody = !serviceCall.method().equals("GET");
+    RequestBody body =
+        hasBody
+            ? RequestBody.create(serviceCall.body(), MediaType.parse(serviceCall.contentType()))
+            : null;
+    Request request =
+        new Request.Builder()
+            .url(serviceCall.address() + serviceCall.path())
+            .method(serviceCall.method(), body)
+            .build();
+    Call call = client.newCall(request);
+    call.timeout().timeout(Math.max(1, serviceCall.timeoutMillis()), TimeUnit.MILLISECONDS);
+    try (Response response = call.execute()) {
+      if (response.header(RAN_HEADER, "").equals("no")) {
+        throw new BackendException(Outcome.REFUSED, "service answered " + response.code());
+      }
+      String type = response.header("Content-Type", "application/octet-stream");
+      return new ServiceAnswer(response.code(), type, response.body().byteString());
+    } catch (ConnectException e) {
+      throw new BackendException(Outcome.NOT_SENT, "not reached: " + e.getMessage());
+    } catch (IOException e) {
+      throw new BackendException(Outcome.UNKNOWN, "no whole answer: " + e.getMessage());
+    }
+  }
+}
--- /dev/null
+++ b/node/src/main/java/io/nutmegseam/node/package-info.java
@@ -0,0 +1,2 @@
+/** Entry point of the product: the node daemon and the operators' command line. */
+package io.nutmegseam.node;
--- /dev/null
+++ b/node/src/main/java/io/nutmegseam/node/peer/PeerNetwork.java
@@ -0,0 +1,201 @@
+package io.nutmegseam.node.peer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import io.nutmegseam.core.event.EventKind;
+import io.nutmegseam.core.event.EventSink;
+import io.nutmegseam.core.event.HybridClock;
+import io.nutmegseam.core.event.HybridTimestamp;
+import io.nutmegseam.node.peer.generated.PeerFrame;
+import io.nutmegseam.node.settings.HostPort;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import javax.net.ssl.SSLException;
+
+/**
+ * One connection to each peer. Both nodes may open one; the frames of either are taken, and frames
+ * go out on the one that was greeted last. Safe for use by several threads.
+ */
+public final class PeerNetwork implements AutoCloseable {
+  private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+  private static final int SILENCE_SECONDS = 15;
+  private static final int EVENT_LOOP_THREADS = 1;
+
+  private final PeerIdentity self;
+  private final int maxFrameBytes;
+  private final HybridClock clock;
+  private final EventSink events;
+  private final PeerListener listener;
+  private final PeerTlsContexts tls;
+  private final PeerTraffic traffic;
+  private final EventLoopGroup loops =
+      new NioEventLoopGroup(EVENT_LOOP_THREADS, new DefaultThreadFactory("peer", true));
+  private final Map<String, Channel> channelByNode = new ConcurrentHashMap<>();
+  private final Set<HostPort> connecting = ConcurrentHashMap.newKeySet();
+
+  /**
+   * Creates the network; {@link #listen} opens it.
+   *
+   * @param self who this node is
+   * @param maxFrameBytes largest frame taken, in bytes
+   * @param clock hybrid clock that travels in frames
+   * @param events event log
+   * @param listener receives the frames
+   * @param tls keys of the connections
+   * @param traffic counts bytes
+   */
+  public PeerNetwork(
+      PeerIdentity self,
+      int maxFrameBytes,
+      HybridClock clock,
+      EventSink events,
+      PeerListener listener,
+      PeerTlsContexts tls,
+      PeerTraffic traffic) {
+    this.self = self;
+    this.maxFrameBytes = maxFrameBytes;
+    this.clock = clock;
+    this.events = events;
+    this.listener = listener;
+    this.tls = tls;
+    this.traffic = traffic;
+  }
+
+  /**
+   * Listens for peers.
+   *
+   * @param address the listening address
+   */
+  public void listen(HostPort address) {
+    new ServerBootstrap()
+        .group(loops)
+        .channel(NioServerSocketChannel.class)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(new Initializer(true))
+        .bind(address.host(), address.port())
+        .syncUninterruptibly();
+  }
+
+  /**
+   * Opens a connection unless one is being opened. The outcome shows as a connected peer.
+   *
+   * @param address the peer's address
+   */
+  public void connect(HostPort address) {
+    if (!connecting.add(address)) {
+      return;
+    }
+    new Bootstrap()
+        .group(loops)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .handler(new Initializer(false))
+        .connect(address.host(), address.port())
+        .addListener(done -> connecting.remove(address));
+  }
+
+  /**
+   * Sends a frame.
+   *
+   * @param node the receiving node
+   * @param frame the frame without its timestamp
+   * @return whether there is a connection; delivery is not promised
+   */
+  public boolean send(String node, PeerFrame.Builder frame) {
+    Channel channel = channelByNode.get(node);
+    if (channel == null || !channel.isActive()) {
+      return false;
+    }
+    if (channel.isWritable()) {
+      write(channel, frame);
+    }
+    return true;
+  }
+
+  /** Returns the nodes with a connection. */
+  public Set<String> connected() {
+    return Set.copyOf(channelByNode.keySet());
+  }
+
+  /** Returns the byte counts. */
+  public PeerTraffic traffic() {
+    return traffic;
+  }
+
+  @Override
+  public void close() {
+    loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+  }
+
+  void write(Channel channel, PeerFrame.Builder frame) {
+    HybridTimestamp now = clock.tick();
+    PeerFrame stamped = frame.setWallMillis(now.wallMillis()).setLogical(now.logical()).build();
+    traffic.onSent(stamped);
+    channel.writeAndFlush(stamped);
+  }
+
+  void onGreeted(String node, Channel channel) {
+    Channel previous = channelByNode.put(node, channel);
+    if (previous == null) {
+      events.record(EventKind.PEER_CONNECTED, node, String.valueOf(channel.remoteAddress()));
+    }
+  }
+
+  void onClosed(String node, Channel channel) {
+    if (channelByNode.remove(node, channel)) {
+      events.record(EventKind.PEER_DISCONNECTED, node, "");
+    }
+  }
+
+  void onRejected(Channel channel, String reason) {
+    events.record(EventKind.PEER_REJECTED, String.valueOf(channel.remoteAddress()), reason);
+    channel.close();
+  }
+
+  void onFrame(String node, PeerFrame frame) {
+    traffic.onReceived(frame);
+    clock.receive(new HybridTimestamp(frame.getWallMillis(), frame.getLogical()));
+    listener.onFrame(node, frame);
+  }
+
+  private final class Initializer extends ChannelInitializer<SocketChannel> {
+    private final boolean accepted;
+
+    private Initializer(boolean accepted) {
+      this.accepted = accepted;
+    }
+
+    @Override
+    protected void initChannel(SocketChannel channel) throws SSLException {
+      ChannelPipeline pipeline = channel.pipeline();
+      Optional<SslContext> context = accepted ? tls.server() : tls.client();
+      context.ifPresent(c -> pipeline.addLast(c.newHandler(channel.alloc())));
+      pipeline
+          .addLast(new ReadTimeoutHandler(SILENCE_SECONDS))
+          .addLast(new BoundedFrameDecoder(maxFrameBytes))
+          .addLast(new ProtobufDecoder(PeerFrame.getDefaultInstance()))
+          .addLast(new ProtobufVarint32LengthFieldPrepender())
+          .addLast(new ProtobufEncoder())
+          .addLast(new PeerHandler(PeerNetwork.this, self));
+    }
+  }
+}
--- /dev/null
+++ b/node/src/main/java/io/nutmegseam/node/platform/HttpTableService.java
@@ -0,0 +1,54 @@
+package io.nutmegseam.node.platform;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.nutmegseam.core.platform.CommitResult;
+import io.nutmegseam.core.platform.Row;
+import io.nutmegseam.core.platform.TableException;
+import io.nutmegseam.core.platform.TableService;
+import io.nutmegseam.core.platform.Transaction;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import okhttp3.OkHttpClient;
+
+/** The table service over HTTP. */
+public final class HttpTableService implements TableService {
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final TypeReference<List<Row>> ROWS = new TypeReference<>() {};
+
+  private final PlatformHttp http;
+
+  /**
+   * Creates the adapter.
+   *
+   * @param client HTTP client with the platform's timeouts; must not retry by itself
+   * @param baseAddress base address of the platform
+   */
+  public HttpTableService(OkHttpClient client, String baseAddress) {
+    this.http = new PlatformHttp(client, baseAddress);
+  }
+
+  @Override
+  public CommitResult commit(Transaction transaction) throws TableException {
+    try {
+      PlatformHttp.Answer answer = http.post("/table/commit", JSON.writeValueAsString(transaction));
+      return JSON.readValue(answer.body(), CommitResult.class);
+    } catch (JsonProcessingException e) {
+      throw new TableException("platform's answer is not readable: " + e.getMessage(), true);
+    }
+  }
+
+  @Override
+  public List<Row> range(String prefix, long sinceVersion, int limit) throws TableException {
+    String query =
+        "/table/range?prefix=%s&since=%d&limit=%d"
+            .formatted(URLEncoder.encode(prefix, StandardCharsets.UTF_8), sinceVersion, limit);
+    try {
+      return JSON.readValue(http.get(query).body(), ROWS);
+    } catch (JsonProcessingException e) {
+      throw new TableException("platform's answer is not readable: " + e.getMessage(), false);
+    }
+  }
+}
--- /dev/null
+++ b/node/src/main/java/io/nutmegseam/node/platform/package-info.java
@@ -0,0 +1,2 @@
+/** The platform's services over HTTP. */
+package io.nutmegseam.node.platform;
--- /dev/null
+++ b/node/src/main/java/io/nutmegseam/node/settings/SettingsParser.java
@@ -0,0 +1,113 @@
+package io.nutmegseam.node.settings;
+
+import io.nutmegseam.core.json.Fault;
+import io.nutmegseam.core.json.JsonReader;
+import io.nutmegseam.core.json.JsonValue;
+import io.nutmegseam.core.json.TypedObject;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** Reads settings files. */
+public final class SettingsParser {
+  private SettingsParser() {}
+
+  /**
+   * Reads settings.
+   *
+   * @param text JSON with comments
+   * @param faults receives every fault found
+   * @return the settings, or empty if there is a fault
+   */
+  public static Optional<NodeSettings> parse(String text, List<Fault> faults) {
+    Optional<JsonValue> document = JsonReader.read(text, faults);
+    if (document.isEmpty()) {
+      return Optional.empty();
+    }
+    TypedObject fields = SettingsSchema.SCHEMA.check(document.get(), faults);
+    if (!faults.isEmpty()) {
+      return Optional.empty();
+    }
+    NodeSettings settings = build(document.get(), fields, faults);
+    checkTimes(document.get(), settings.timing(), faults);
+    return faults.isEmpty() ? Optional.of(settings) : Optional.empty();
+  }
+
+  private static NodeSettings build(JsonValue root, TypedObject fields, List<Fault> faults) {
+    List<HostPort> seeds = new ArrayList<>();
+    for (String seed : fields.texts("peerSeeds")) {
+      seeds.add(address(root, "peerSeeds", seed, faults));
+    }
+    return new NodeSettings(
+        fields.text("node"),
+        fields.text("vm"),
+        fields.text("dataCentre"),
+        address(root, "callerAddress", fields.text("callerAddress"), faults),
+        address(root, "operatorAddress", fields.text("operatorAddress"), faults),
+        address(root, "peerAddress", fields.text("peerAddress"), faults),
+        fields.text("platformAddress"),
+        List.copyOf(seeds),
+        fields.text("clusterToken"),
+        fields.text("operatorToken"),
+        fields.objects("callers").stream()
+            .map(c -> new NodeSettings.CallerKey(c.text("name"), c.text("key")))
+            .toList(),
+        limits(fields),
+        timing(fields),
+        new NodeSettings.PeerTls(
+            fields.text("peerCertificateFile"),
+            fields.text("peerKeyFile"),
+            fields.text("peerTrustFile")));
+  }
+
+  private static NodeSettings.Limits limits(TypedObject fields) {
+    return new NodeSettings.Limits(
+        fields.smallInteger("bodyBytes"),
+        fields.smallInteger("storedAnswerBytes"),
+        fields.smallInteger("frameBytes"),
+        fields.smallInteger("workerThreads"),
+        fields.smallInteger("timelineEvents"));
+  }
+
+  private static NodeSettings.Timing timing(TypedObject fields) {
+    return new NodeSettings.Timing(
+        fields.integer("leaseMillis"),
+        fields.integer("renewMillis"),
+        fields.integer("pollMillis"),
+        fields.integer("heartbeatMillis"),
+        fields.integer("tickMillis"),
+        fields.integer("reportMillis"),
+        fields.integer("settleMillis"),
+        fields.integer("platformTimeoutMillis"),
+        fields.integer("orderTimeoutMillis"),
+        fields.integer("drainMillis"));
+  }
+
+  private static HostPort address(JsonValue root, String key, String text, List<Fault> faults) {
+    Optional<HostPort> address = HostPort.parse(text);
+    if (address.isEmpty()) {
+      fault(root, key, "\"%s\" is \"%s\", not host:port".formatted(key, text), faults);
+    }
+    return address.orElse(new HostPort("", 1));
+  }
+
+  private static void checkTimes(JsonValue root, NodeSettings.Timing timing, List<Fault> faults) {
+    if (timing.renewMillis() * 2 > timing.leaseMillis()) {
+      String message =
+          "\"renewMillis\" is %d, more than half of \"leaseMillis\" %d"
+              .formatted(timing.renewMillis(), timing.leaseMillis());
+      fault(root, "renewMillis", message, faults);
+    }
+    if (timing.orderTimeoutMillis() > timing.settleMillis()) {
+      String message =
+          "\"orderTimeoutMillis\" is %d, more than \"settleMillis\" %d"
+              .formatted(timing.orderTimeoutMillis(), timing.settleMillis());
+      fault(root, "orderTimeoutMillis", message, faults);
+    }
+  }
+
+  private static void fault(JsonValue root, String key, String message, List<Fault> faults) {
+    JsonValue at = root.fields().getOrDefault(key, root);
+    faults.add(new Fault(at.line(), at.column(), message));
+  }
+}
--- /dev/null
+++ b/node/src/main/java/io/nutmegseam/node/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Checked settings of a node. */
+package io.nutmegseam.node.settings;
--- a/standin/src/main/java/io/nutmegseam/standin/fault/FaultBook.java
+++ b/standin/src/main/java/io/nutmegseam/standin/fault/FaultBook.java
@@ -77,7 +77,8 @@
         Thread.sleep(fault.get().delayMillis());
         send(exchange, answer);
       }
-      case REFUSE -> exchange.json(503, List.of("refused"));
+      case REFUSE ->
+          exchange.respond(503, "application/json", "[]", java.util.Map.of("X-Ran", "no"));
       case DROP, CRASH -> exchange.abort();
       case CUT -> {
         Answer answer = effect.run();
--- a/standin/src/main/java/io/nutmegseam/standin/http/Exchange.java
+++ b/standin/src/main/java/io/nutmegseam/standin/http/Exchange.java
@@ -127,13 +127,11 @@
   }
 
   /** Breaks the connection. */
-  @SuppressWarnings("FutureReturnValueIgnored")
   public void abort() {
     channel.close();
   }
 
   /** Writes to the connection; a write to a broken connection is lost, as on a real network. */
-  @SuppressWarnings("FutureReturnValueIgnored")
   private void send(Object message) {
     channel.writeAndFlush(message);
   }
