--- a/core/src/main/java/io/nutmegseam/core/coldstart/Demand.java
+++ b/core/src/main/java/io/nutmegseam/core/coldstart/Demand.java
@@ -27,4 +27,15 @@
         Math.max(latestDeadlineMillis, other.latestDeadlineMillis),
         Math.min(raisedAtMillis, other.raisedAtMillis));
   }
+
+  /** Returns the same waiting requests as a demand for another unit that they need. */
+  public Demand forUnit(String other) {
+    return new Demand(
+        other, waiting, interactive, earliestDeadlineMillis, latestDeadlineMillis, raisedAtMillis);
+  }
+
+  /** Returns a demand of no requests. */
+  public static Demand none(String unit) {
+    return new Demand(unit, 0, false, Long.MAX_VALUE, Long.MIN_VALUE, Long.MAX_VALUE);
+  }
 }
--- a/core/src/main/java/io/nutmegseam/core/lease/LeaseObserver.java
+++ b/core/src/main/java/io/nutmegseam/core/lease/LeaseObserver.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -16,13 +17,16 @@
   private final long leaseMillis;
   private final Map<String, Seen> seenByNode;
   private final Set<String> vms;
+  private final Set<String> vmsEverSeen;
 
   private record Seen(LeaseRow row, long changedAtMillis) {}
 
-  private LeaseObserver(long leaseMillis, Map<String, Seen> seenByNode, Set<String> vms) {
+  private LeaseObserver(
+      long leaseMillis, Map<String, Seen> seenByNode, Set<String> vms, Set<String> vmsEverSeen) {
     this.leaseMillis = leaseMillis;
     this.seenByNode = seenByNode;
     this.vms = vms;
+    this.vmsEverSeen = vmsEverSeen;
   }
 
   /**
@@ -31,7 +35,7 @@
    * @param leaseMillis time without a renewal after which a lease lapses, in milliseconds
    */
   public static LeaseObserver of(long leaseMillis) {
-    return new LeaseObserver(leaseMillis, Map.of(), Set.of());
+    return new LeaseObserver(leaseMillis, Map.of(), Set.of(), Set.of());
   }
 
   /**
@@ -48,16 +52,18 @@
         next.put(row.node(), new Seen(row, nowMillis));
       }
     }
-    return new LeaseObserver(leaseMillis, next, vms);
+    return new LeaseObserver(leaseMillis, next, vms, vmsEverSeen);
   }
 
   /**
    * Takes in the VM list.
    *
-   * @param names the VMs on the list; empty for an unread list
+   * @param names the VMs on the list
    */
   public LeaseObserver withVms(Set<String> names) {
-    return new LeaseObserver(leaseMillis, seenByNode, Set.copyOf(names));
+    Set<String> ever = new HashSet<>(vmsEverSeen);
+    ever.addAll(names);
+    return new LeaseObserver(leaseMillis, seenByNode, Set.copyOf(names), ever);
   }
 
   /**
@@ -68,7 +74,7 @@
   public LeaseObserver restartWatch(long nowMillis) {
     Map<String, Seen> next = new HashMap<>();
     seenByNode.forEach((node, seen) -> next.put(node, new Seen(seen.row(), nowMillis)));
-    return new LeaseObserver(leaseMillis, next, vms);
+    return new LeaseObserver(leaseMillis, next, vms, vmsEverSeen);
   }
 
   /** Returns the last row seen of a node. */
@@ -116,7 +122,11 @@
     if (nowMillis - seen.changedAtMillis() <= leaseMillis) {
       return HolderStatus.LIVE;
     }
-    boolean vmGone = !vms.isEmpty() && !vms.contains(seen.row().vm());
-    return vmGone ? HolderStatus.VM_GONE : HolderStatus.LAPSED;
+    return isVmGone(seen.row().vm()) ? HolderStatus.VM_GONE : HolderStatus.LAPSED;
+  }
+
+  /** Returns whether a VM was on the VM list once and is absent from it now. */
+  public boolean isVmGone(String vm) {
+    return vmsEverSeen.contains(vm) && !vms.contains(vm);
   }
 }
--- a/core/src/main/java/io/nutmegseam/core/ownership/OwnershipEvent.java
+++ b/core/src/main/java/io/nutmegseam/core/ownership/OwnershipEvent.java
@@ -9,8 +9,9 @@
    *
    * @param row the row
    * @param version its version
+   * @param nowMillis monotonic time
    */
-  record RowSeen(ServerRow row, long version) implements OwnershipEvent {}
+  record RowSeen(ServerRow row, long version, long nowMillis) implements OwnershipEvent {}
 
   /**
    * The periodic review.
@@ -34,7 +35,10 @@
   /** The row write was refused, since another node was faster. */
   record RowRefused() implements OwnershipEvent {}
 
-  /** The outcome of the row write is unknown; the next read of the row settles it. */
+  /**
+   * The outcome of the row write is unknown; the next read of the row settles it, also when the
+   * write takes effect late.
+   */
   record RowUnknown() implements OwnershipEvent {}
 
   /** The engine has taken the fencing number, or does not check it. */
--- a/core/src/main/java/io/nutmegseam/core/ownership/ServerOwnership.java
+++ b/core/src/main/java/io/nutmegseam/core/ownership/ServerOwnership.java
@@ -85,8 +85,8 @@
     if (event instanceof OwnershipEvent.RowWritten written) {
       return onRowWritten(written);
     }
-    if (event instanceof OwnershipEvent.RowRefused) {
-      return refused();
+    if (event instanceof OwnershipEvent.RowRefused || event instanceof OwnershipEvent.RowUnknown) {
+      return writeFailed();
     }
     if (event instanceof OwnershipEvent.EngineClaimed) {
       return phase == Phase.CLAIMING ? claimed() : stay();
@@ -103,8 +103,8 @@
     }
     ServerOwnership next = withRow(seen.row(), seen.version());
     boolean ours = seen.row().isOwnedBy(node, incarnation);
-    if (ours && phase == Phase.TAKING) {
-      return next.claiming();
+    if (ours && (phase == Phase.TAKING || phase == Phase.WATCHING)) {
+      return next.withSettledAt(seen.nowMillis() + settleMillis).claiming();
     }
     boolean holding = phase != Phase.WATCHING && phase != Phase.TAKING;
     if (!ours && holding) {
@@ -147,7 +147,7 @@
     return stay();
   }
 
-  private Step refused() {
+  private Step writeFailed() {
     return phase == Phase.TAKING || phase == Phase.RELEASING
         ? withPhase(Phase.WATCHING).stay()
         : stay();
--- /dev/null
+++ b/node/src/main/java/io/nutmegseam/node/control/EngineDirectory.java
@@ -0,0 +1,11 @@
+package io.nutmegseam.node.control;
+
+import io.nutmegseam.core.backend.Engine;
+import io.nutmegseam.core.config.BackendServerRecord;
+
+/** Gives the control interface of a backend server. */
+@FunctionalInterface
+public interface EngineDirectory {
+  /** Returns the control interface of a model engine. */
+  Engine engine(BackendServerRecord server);
+}
