--- a/core/src/main/java/io/nutmegseam/core/config/Catalog.java
+++ b/core/src/main/java/io/nutmegseam/core/config/Catalog.java
@@ -130,6 +130,15 @@
         .orElse(DEFAULT_POLICY);
   }
 
+  /** Returns the longest timeout of all calls of plain services, in milliseconds. */
+  public long longestCallMillis() {
+    return select(records, ServiceRecord.class).stream()
+        .flatMap(service -> service.calls().stream())
+        .mapToLong(ServiceRecord.Call::timeoutMillis)
+        .max()
+        .orElse(0);
+  }
+
   private static <T extends OperatorRecord> List<T> select(
       Map<RecordId, OperatorRecord> records, Class<T> type) {
     List<T> selected = new ArrayList<>();
--- a/core/src/main/java/io/nutmegseam/core/config/LocatedRecord.java
+++ b/core/src/main/java/io/nutmegseam/core/config/LocatedRecord.java
@@ -6,5 +6,8 @@
  * @param record the record
  * @param line line of the record, from 1
  * @param column column of the record, from 1
+ * @param text the record as JSON, in the schema version that the operator used
+ * @param schemaVersion that schema version
  */
-public record LocatedRecord(OperatorRecord record, int line, int column) {}
+public record LocatedRecord(
+    OperatorRecord record, int line, int column, String text, int schemaVersion) {}
--- a/core/src/main/java/io/nutmegseam/core/config/RecordParser.java
+++ b/core/src/main/java/io/nutmegseam/core/config/RecordParser.java
@@ -31,8 +31,7 @@
     List<JsonValue> values = root.isArray() ? root.items() : List.of(root);
     List<LocatedRecord> records = new ArrayList<>();
     for (JsonValue value : values) {
-      parseOne(value, faults)
-          .ifPresent(r -> records.add(new LocatedRecord(r, value.line(), value.column())));
+      parseOne(value, faults).ifPresent(r -> records.add(located(r, value)));
     }
     return records;
   }
@@ -51,6 +50,11 @@
         : Optional.empty();
   }
 
+  private static LocatedRecord located(OperatorRecord record, JsonValue value) {
+    int version = ((Long) value.fields().get("schemaVersion").value()).intValue();
+    return new LocatedRecord(record, value.line(), value.column(), value.toJson(), version);
+  }
+
   private static Optional<OperatorRecord> parseOne(JsonValue value, List<Fault> faults) {
     if (!value.isObject()) {
       faults.add(fault(value, "expected a record but found " + value.typeName()));
--- a/core/src/main/java/io/nutmegseam/core/json/JsonValue.java
+++ b/core/src/main/java/io/nutmegseam/core/json/JsonValue.java
@@ -1,5 +1,9 @@
 package io.nutmegseam.core.json;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
 import java.util.Map;
 
@@ -50,4 +54,23 @@
     }
     return value instanceof Boolean ? "boolean" : "number";
   }
+
+  /** Returns the value as JSON text without comments. */
+  public String toJson() {
+    return toNode().toString();
+  }
+
+  private JsonNode toNode() {
+    if (isObject()) {
+      ObjectNode object = JsonNodeFactory.instance.objectNode();
+      fields().forEach((key, field) -> object.set(key, field.toNode()));
+      return object;
+    }
+    if (isArray()) {
+      ArrayNode array = JsonNodeFactory.instance.arrayNode();
+      items().forEach(item -> array.add(item.toNode()));
+      return array;
+    }
+    return JsonNodeFactory.instance.pojoNode(value);
+  }
 }
--- a/core/src/main/java/io/nutmegseam/core/lease/LeaseObserver.java
+++ b/core/src/main/java/io/nutmegseam/core/lease/LeaseObserver.java
@@ -93,8 +93,18 @@
    * @param nowMillis monotonic time
    */
   public List<LeaseRow> live(long nowMillis) {
+    return recent(nowMillis, leaseMillis);
+  }
+
+  /**
+   * Returns the rows that changed within a time, by name of the node.
+   *
+   * @param nowMillis monotonic time
+   * @param withinMillis the time, in milliseconds
+   */
+  public List<LeaseRow> recent(long nowMillis, long withinMillis) {
     return seenByNode.values().stream()
-        .filter(seen -> nowMillis - seen.changedAtMillis() <= leaseMillis)
+        .filter(seen -> nowMillis - seen.changedAtMillis() <= withinMillis)
         .map(Seen::row)
         .filter(row -> !row.leaving())
         .sorted(java.util.Comparator.comparing(LeaseRow::node))
--- /dev/null
+++ b/node/src/main/java/io/nutmegseam/node/caller/JoobySink.java
@@ -0,0 +1,60 @@
+package io.nutmegseam.node.caller;
+
+import io.jooby.Context;
+import io.jooby.Sender;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicBoolean;
+import okio.ByteString;
+
+/** The way back to a caller over Jooby. */
+final class JoobySink implements AnswerSink {
+  private final Context context;
+  private final AtomicBoolean callerGone = new AtomicBoolean();
+  private Sender sender;
+  private boolean started;
+
+  JoobySink(Context context) {
+    this.context = context;
+  }
+
+  @Override
+  public boolean isStarted() {
+    return started;
+  }
+
+  @Override
+  public void whole(int status, String contentType, ByteString body, Map<String, String> headers) {
+    started = true;
+    context.setResponseCode(status);
+    context.setResponseHeader("Content-Type", contentType);
+    headers.forEach(context::setResponseHeader);
+    context.send(body.toByteArray());
+  }
+
+  @Override
+  public boolean event(String event) {
+    if (sender == null) {
+      started = true;
+      context.setResponseCode(200);
+      context.setResponseHeader("Content-Type", "text/event-stream");
+      context.setResponseHeader("Cache-Control", "no-store");
+      sender = context.responseSender();
+    }
+    sender.write(
+        event.getBytes(StandardCharsets.UTF_8),
+        (written, cause) -> {
+          if (cause != null) {
+            callerGone.set(true);
+          }
+        });
+    return !callerGone.get();
+  }
+
+  @Override
+  public void endStream() {
+    if (sender != null) {
+      sender.close();
+    }
+  }
+}
--- /dev/null
+++ b/node/src/main/java/io/nutmegseam/node/caller/Secrets.java
@@ -0,0 +1,15 @@
+package io.nutmegseam.node.caller;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+
+/** Compares secrets in constant time. */
+public final class Secrets {
+  private Secrets() {}
+
+  /** Returns whether two secrets are the same. */
+  public static boolean same(String one, String other) {
+    return MessageDigest.isEqual(
+        one.getBytes(StandardCharsets.UTF_8), other.getBytes(StandardCharsets.UTF_8));
+  }
+}
--- /dev/null
+++ b/node/src/main/java/io/nutmegseam/node/caller/package-info.java
@@ -0,0 +1,2 @@
+/** The path of a caller's request, as filters. */
+package io.nutmegseam.node.caller;
--- /dev/null
+++ b/node/src/main/java/io/nutmegseam/node/command/CheckCommand.java
@@ -0,0 +1,71 @@
+package io.nutmegseam.node.command;
+
+import io.nutmegseam.core.config.LocatedRecord;
+import io.nutmegseam.core.config.RecordParser;
+import io.nutmegseam.core.config.ReferenceCheck;
+import io.nutmegseam.core.json.Fault;
+import io.nutmegseam.core.json.JsonReader;
+import io.nutmegseam.core.json.JsonValue;
+import io.nutmegseam.node.settings.SettingsParser;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Checks settings and record files offline. References may point into any of the files. */
+final class CheckCommand {
+  private final PrintStream out;
+
+  CheckCommand(PrintStream out) {
+    this.out = out;
+  }
+
+  ExitStatus run(List<String> files) throws CommandException {
+    Map<String, List<Fault>> faultsByFile = new LinkedHashMap<>();
+    Map<String, List<LocatedRecord>> recordsByFile = new LinkedHashMap<>();
+    for (String file : files) {
+      List<Fault> faults = new ArrayList<>();
+      recordsByFile.put(file, check(CommandLine.readFile(file), faults));
+      faultsByFile.put(file, faults);
+    }
+    checkReferences(recordsByFile, faultsByFile);
+    int count = 0;
+    for (Map.Entry<String, List<Fault>> entry : faultsByFile.entrySet()) {
+      List<Fault> faults = entry.getValue();
+      faults.sort(Comparator.comparingInt(Fault::line).thenComparingInt(Fault::column));
+      faults.forEach(fault -> out.println(fault.describe(entry.getKey())));
+      count += faults.size();
+    }
+    return count == 0 ? ExitStatus.OK : ExitStatus.USAGE;
+  }
+
+  private static List<LocatedRecord> check(String text, List<Fault> faults) {
+    if (isRecords(text)) {
+      return RecordParser.parse(text, faults);
+    }
+    SettingsParser.parse(text, faults);
+    return List.of();
+  }
+
+  /** A record has a kind; an array holds records; all else is taken for settings. */
+  private static boolean isRecords(String text) {
+    Optional<JsonValue> value = JsonReader.read(text, new ArrayList<>());
+    return value.isEmpty()
+        || value.get().isArray()
+        || (value.get().isObject()
+            && (value.get().fields().containsKey("kind")
+                || value.get().fields().containsKey("schemaVersion")));
+  }
+
+  private static void checkReferences(
+      Map<String, List<LocatedRecord>> recordsByFile, Map<String, List<Fault>> faultsByFile) {
+    ReferenceCheck references = new ReferenceCheck(List.of());
+    recordsByFile.values().forEach(rs -> rs.forEach(r -> references.add(r.record())));
+    recordsByFile.forEach(
+        (file, records) ->
+            records.forEach(record -> references.check(record, faultsByFile.get(file))));
+  }
+}
--- /dev/null
+++ b/node/src/main/java/io/nutmegseam/node/command/CommandLine.java
@@ -0,0 +1,191 @@
+package io.nutmegseam.node.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.nutmegseam.core.json.Fault;
+import io.nutmegseam.node.daemon.NodeDaemon;
+import io.nutmegseam.node.settings.NodeSettings;
+import io.nutmegseam.node.settings.SettingsParser;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.UUID;
+import net.sourceforge.argparse4j.helper.HelpScreenException;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+
+/** Runs one command. */
+public final class CommandLine {
+  private final PrintStream out;
+  private final PrintStream err;
+  private final String version;
+
+  /**
+   * Creates the command line.
+   *
+   * @param out receives answers
+   * @param err receives errors
+   * @param version version of the product
+   */
+  public CommandLine(PrintStream out, PrintStream err, String version) {
+    this.out = out;
+    this.err = err;
+    this.version = version;
+  }
+
+  /**
+   * Runs a command.
+   *
+   * @param args the arguments
+   * @return the exit status
+   */
+  public ExitStatus run(String... args) {
+    ArgumentParser parser = Arguments.parser(version);
+    try {
+      return dispatch(parser.parseArgs(args));
+    } catch (HelpScreenException e) {
+      return ExitStatus.OK;
+    } catch (ArgumentParserException e) {
+      err.println("nutmegseam: " + e.getMessage() + " (see --help)");
+      return ExitStatus.USAGE;
+    } catch (CommandException e) {
+      err.println("nutmegseam: " + e.getMessage());
+      return e.status();
+    }
+  }
+
+  private ExitStatus dispatch(Namespace arguments) throws CommandException {
+    String command = arguments.getString("command");
+    return switch (command) {
+      case "node" -> node(arguments);
+      case "check" -> new CheckCommand(out).run(arguments.getList("files"));
+      case "apply" -> apply(arguments);
+      case "get" -> get(arguments);
+      case "delete" -> delete(arguments);
+      case "diff" -> new DiffCommand(client(arguments), out).run(read(arguments));
+      case "drain" -> drain(arguments);
+      case "timeline" -> timeline(arguments);
+      case "history" -> print(arguments, "/v1/history");
+      case "status" -> print(arguments, "/v1/status");
+      case "placements" -> print(arguments, "/v1/placements");
+      default -> throw new CommandException(ExitStatus.USAGE, "a command is missing");
+    };
+  }
+
+  private ExitStatus node(Namespace arguments) throws CommandException {
+    String file = arguments.getString("settings");
+    List<Fault> faults = new ArrayList<>();
+    Optional<NodeSettings> settings = SettingsParser.parse(readFile(file), faults);
+    if (settings.isEmpty()) {
+      faults.forEach(fault -> err.println(fault.describe(file)));
+      return ExitStatus.USAGE;
+    }
+    NodeDaemon daemon = new NodeDaemon(settings.get());
+    Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "shutdown"));
+    daemon.start();
+    try {
+      Thread.currentThread().join();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    return ExitStatus.OK;
+  }
+
+  private ExitStatus apply(Namespace arguments) throws CommandException {
+    Map<String, String> headers = changeHeaders();
+    Long ifRevision = arguments.getLong("if_revision");
+    if (ifRevision != null) {
+      headers.put("X-If-Revision", ifRevision.toString());
+    }
+    OperatorClient client = client(arguments);
+    JsonNode changed = client.post("/v1/records", read(arguments), headers);
+    long revision = changed.path("revision").asLong();
+    output(arguments).print(changed);
+    Integer waitSeconds = arguments.getInt("wait");
+    return waitSeconds == null
+        ? ExitStatus.OK
+        : new WaitInForce(client, output(arguments)).run(revision, waitSeconds);
+  }
+
+  private ExitStatus get(Namespace arguments) throws CommandException {
+    String kind = arguments.getString("kind");
+    String name = arguments.getString("name");
+    if (kind == null) {
+      return print(arguments, "/v1/records");
+    }
+    return print(
+        arguments, name == null ? "/v1/records?kind=" + kind : "/v1/records/" + kind + "/" + name);
+  }
+
+  private ExitStatus delete(Namespace arguments) throws CommandException {
+    String path = "/v1/records/" + arguments.getString("kind") + "/" + arguments.getString("name");
+    output(arguments).print(client(arguments).delete(path, changeHeaders()));
+    return ExitStatus.OK;
+  }
+
+  private ExitStatus drain(Namespace arguments) throws CommandException {
+    String path =
+        "/v1/drain/" + arguments.getString("name") + "?undo=" + arguments.getBoolean("undo");
+    output(arguments).print(client(arguments).post(path, "", changeHeaders()));
+    return ExitStatus.OK;
+  }
+
+  private ExitStatus timeline(Namespace arguments) throws CommandException {
+    Timeline timeline = Timeline.collect(client(arguments), err);
+    String html = arguments.getString("html");
+    if (html != null) {
+      writeFile(html, new TimelinePage(timeline).html());
+    } else if (arguments.getBoolean("lines")) {
+      timeline.events().forEach(event -> out.println(event.line()));
+    } else {
+      timeline.events().forEach(event -> out.println(event.text()));
+    }
+    return ExitStatus.OK;
+  }
+
+  private ExitStatus print(Namespace arguments, String path) throws CommandException {
+    output(arguments).print(client(arguments).get(path));
+    return ExitStatus.OK;
+  }
+
+  private static OperatorClient client(Namespace arguments) {
+    return new OperatorClient(arguments.getString("address"), arguments.getString("token"));
+  }
+
+  private Output output(Namespace arguments) {
+    return new Output(out, arguments.getString("output").equals("json"));
+  }
+
+  private static Map<String, String> changeHeaders() {
+    Map<String, String> headers = new HashMap<>();
+    headers.put("X-Change-Id", UUID.randomUUID().toString());
+    headers.put("X-Operator", System.getProperty("user.name", "operator"));
+    return headers;
+  }
+
+  private static String read(Namespace arguments) throws CommandException {
+    return readFile(arguments.getString("file"));
+  }
+
+  static String readFile(String file) throws CommandException {
+    try {
+      return Files.readString(Path.of(file));
+    } catch (IOException e) {
+      throw new CommandException(ExitStatus.USAGE, file + " can't be read: " + e.getMessage());
+    }
+  }
+
+  private static void writeFile(String file, String text) throws CommandException {
+    try {
+      Files.writeString(Path.of(file), text);
+    } catch (IOException e) {
+      throw new CommandException(ExitStatus.USAGE, file + " can't be written: " + e.getMessage());
+    }
+  }
+}
--- /dev/null
+++ b/node/src/main/java/io/nutmegseam/node/command/OperatorClient.java
@@ -0,0 +1,89 @@
+package io.nutmegseam.node.command;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Map;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+
+/** Calls the operator interface of a node. */
+final class OperatorClient {
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final MediaType JSON_TYPE = MediaType.get("application/json");
+  private static final Duration TIMEOUT = Duration.ofSeconds(15);
+  private static final int FIRST_SERVER_ERROR = 500;
+
+  private final OkHttpClient client =
+      new OkHttpClient.Builder().callTimeout(TIMEOUT).retryOnConnectionFailure(false).build();
+  private final String address;
+  private final String token;
+
+  OperatorClient(String address, String token) {
+    this.address = address;
+    this.token = token;
+  }
+
+  OperatorClient at(String otherAddress) {
+    return new OperatorClient(otherAddress, token);
+  }
+
+  JsonNode get(String path) throws CommandException {
+    return call("GET", path, null, Map.of());
+  }
+
+  JsonNode post(String path, String body, Map<String, String> headers) throws CommandException {
+    return call("POST", path, RequestBody.create(body, JSON_TYPE), headers);
+  }
+
+  JsonNode delete(String path, Map<String, String> headers) throws CommandException {
+    return call("DELETE", path, null, headers);
+  }
+
+  private JsonNode call(String method, String path, RequestBody body, Map<String, String> headers)
+      throws CommandException {
+    try {
+      Request.Builder request =
+          new Request.Builder()
+              .url(address + path)
+              .method(method, body)
+              .header("Authorization", "Bearer " + token);
+      headers.forEach(request::header);
+      try (Response response = client.newCall(request.build()).execute()) {
+        return answer(response.code(), response.body().string());
+      }
+    } catch (IllegalArgumentException e) {
+      throw new CommandException(ExitStatus.USAGE, address + " is not an address");
+    } catch (IOException e) {
+      throw new CommandException(
+          ExitStatus.UNREACHABLE, address + " can't be reached: " + e.getMessage());
+    }
+  }
+
+  private static JsonNode answer(int status, String text) throws CommandException {
+    JsonNode node = parse(text);
+    if (status < 300) {
+      return node;
+    }
+    JsonNode error = node.path("error");
+    String message = error.path("kind").asText() + ": " + error.path("message").asText();
+    if (error.path("kind").asText().equals("invalid-record")) {
+      throw new CommandException(ExitStatus.USAGE, error.path("message").asText());
+    }
+    ExitStatus exit = status >= FIRST_SERVER_ERROR ? ExitStatus.UNREACHABLE : ExitStatus.NO;
+    throw new CommandException(exit, message);
+  }
+
+  private static JsonNode parse(String text) throws CommandException {
+    try {
+      return JSON.readTree(text);
+    } catch (JsonProcessingException e) {
+      throw new CommandException(ExitStatus.UNREACHABLE, "the answer is not JSON: " + text);
+    }
+  }
+}
--- /dev/null
+++ b/node/src/main/java/io/nutmegseam/node/command/TimelinePage.java
@@ -0,0 +1,121 @@
+package io.nutmegseam.node.command;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+
+/** Draws a time line as one self-contained page: one row a node, events as marks. */
+final class TimelinePage {
+  private static final int LEFT = 120;
+  private static final int ROW_HEIGHT = 46;
+  private static final int WIDTH = 1_500;
+  private static final int MARK_RADIUS = 5;
+  private static final int TOP = 30;
+
+  private final Timeline timeline;
+  private final List<String> nodes;
+
+  TimelinePage(Timeline timeline) {
+    this.timeline = timeline;
+    TreeSet<String> names = new TreeSet<>();
+    timeline.events().forEach(event -> names.add(event.node()));
+    this.nodes = new ArrayList<>(names);
+  }
+
+  String html() {
+    StringBuilder page = new StringBuilder();
+    page.append("<!doctype html><meta charset=utf-8><title>nutmegseam time line</title>");
+    page.append("<style>body{font:14px sans-serif;margin:16px}td,th{text-align:left;")
+        .append("padding:2px 10px 2px 0;font-size:13px;vertical-align:top}")
+        .append("svg{background:#fafafa}circle:hover{stroke:#000;stroke-width:2}</style>");
+    page.append("<h1>Time line</h1><p>").append(timeline.events().size());
+    page.append(" events of ").append(nodes.size());
+    page.append(" nodes. Point at a mark for its event; lines join events of one subject.</p>");
+    page.append(chart()).append(table());
+    return page.toString();
+  }
+
+  private String chart() {
+    int height = TOP + ROW_HEIGHT * Math.max(1, nodes.size());
+    StringBuilder svg = new StringBuilder();
+    svg.append("<svg width=%d height=%d>".formatted(LEFT + WIDTH + 20, height + 20));
+    for (int i = 0; i < nodes.size(); i++) {
+      int y = TOP + i * ROW_HEIGHT;
+      svg.append("<text x=4 y=%d>%s</text>".formatted(y + 4, escape(nodes.get(i))));
+      svg.append(
+          "<line x1=%d y1=%d x2=%d y2=%d stroke=#ccc />".formatted(LEFT, y, LEFT + WIDTH, y));
+    }
+    svg.append(arrows());
+    for (Timeline.Event event : timeline.events()) {
+      svg.append(
+          "<circle cx=%d cy=%d r=%d fill=%s><title>%s</title></circle>"
+              .formatted(
+                  x(event), y(event), MARK_RADIUS, colour(event.number()), escape(event.text())));
+    }
+    return svg.append("</svg>").toString();
+  }
+
+  /** Joins the events of one subject that happen on different nodes. */
+  private String arrows() {
+    StringBuilder lines = new StringBuilder();
+    Map<String, Timeline.Event> lastBySubject = new LinkedHashMap<>();
+    for (Timeline.Event event : timeline.events()) {
+      Timeline.Event before = lastBySubject.put(event.subject(), event);
+      if (before != null && !before.node().equals(event.node()) && !event.subject().isEmpty()) {
+        lines.append(
+            "<line x1=%d y1=%d x2=%d y2=%d stroke=#9bd stroke-width=1 />"
+                .formatted(x(before), y(before), x(event), y(event)));
+      }
+    }
+    return lines.toString();
+  }
+
+  private String table() {
+    StringBuilder table = new StringBuilder("<table><tr><th>time<th>node<th>event<th>subject");
+    table.append("<th>detail</tr>");
+    for (Timeline.Event event : timeline.events()) {
+      table
+          .append("<tr><td>")
+          .append(java.time.Instant.ofEpochMilli(event.at().wallMillis()))
+          .append("<td>")
+          .append(escape(event.node()))
+          .append("<td>")
+          .append(event.number())
+          .append(' ')
+          .append(event.name())
+          .append("<td>")
+          .append(escape(event.subject()))
+          .append("<td>")
+          .append(escape(event.detail()))
+          .append("</tr>");
+    }
+    return table.append("</table>").toString();
+  }
+
+  private int x(Timeline.Event event) {
+    List<Timeline.Event> all = timeline.events();
+    long first = all.get(0).at().wallMillis();
+    long span = Math.max(1, all.get(all.size() - 1).at().wallMillis() - first);
+    return LEFT + (int) ((event.at().wallMillis() - first) * WIDTH / span);
+  }
+
+  private int y(Timeline.Event event) {
+    return TOP + nodes.indexOf(event.node()) * ROW_HEIGHT;
+  }
+
+  private static String colour(int number) {
+    return switch (number / 100) {
+      case 1 -> "#888888";
+      case 2 -> "#2a7f3f";
+      case 3 -> "#c77f12";
+      case 4 -> "#2b62b3";
+      default -> "#b32b2b";
+    };
+  }
+
+  private static String escape(String text) {
+    return text.replace("&", "&amp;").replace("<", "&lt;").replace(">", "&gt;");
+  }
+}
--- /dev/null
+++ b/node/src/main/java/io/nutmegseam/node/command/package-info.java
@@ -0,0 +1,2 @@
+/** The command line. */
+package io.nutmegseam.node.command;
--- a/node/src/main/java/io/nutmegseam/node/control/BudgetControl.java
+++ b/node/src/main/java/io/nutmegseam/node/control/BudgetControl.java
@@ -3,6 +3,7 @@
 import io.nutmegseam.core.coldstart.Demand;
 import io.nutmegseam.core.coldstart.StoreBudget;
 import io.nutmegseam.core.config.PolicyRecord;
+import io.nutmegseam.node.peer.Outbox;
 import io.nutmegseam.node.peer.generated.PeerFrame;
 import io.nutmegseam.node.peer.generated.PermitAsk;
 import io.nutmegseam.node.peer.generated.PermitGrant;
--- a/node/src/main/java/io/nutmegseam/node/control/ConfigRows.java
+++ b/node/src/main/java/io/nutmegseam/node/control/ConfigRows.java
@@ -17,6 +17,9 @@
   /** Prefix of the rows that say who changed what. */
   public static final String AUDIT_PREFIX = "config/audit/";
 
+  /** Prefix of the rows that say under which revision a change took effect. */
+  public static final String CHANGE_PREFIX = "config/change/";
+
   private static final int REVISION_DIGITS = 12;
 
   private ConfigRows() {}
@@ -68,6 +71,11 @@
     return RECORD_PREFIX + kind.word() + "/" + name;
   }
 
+  /** Returns the key of the row that says under which revision a change took effect. */
+  public static String changeKey(String changeId) {
+    return CHANGE_PREFIX + changeId;
+  }
+
   /** Returns the key of an audit row; keys sort by revision. */
   public static String auditKey(long revision) {
     String digits = Long.toString(revision);
--- a/node/src/main/java/io/nutmegseam/node/control/DemandControl.java
+++ b/node/src/main/java/io/nutmegseam/node/control/DemandControl.java
@@ -3,6 +3,7 @@
 import io.nutmegseam.core.coldstart.Demand;
 import io.nutmegseam.core.event.EventKind;
 import io.nutmegseam.core.placement.PlacementRules;
+import io.nutmegseam.node.peer.Outbox;
 import io.nutmegseam.node.peer.generated.DemandNotice;
 import io.nutmegseam.node.peer.generated.PeerFrame;
 import java.util.HashSet;
--- a/node/src/main/java/io/nutmegseam/node/control/NodeControl.java
+++ b/node/src/main/java/io/nutmegseam/node/control/NodeControl.java
@@ -6,6 +6,7 @@
 import io.nutmegseam.core.ownership.TakeoverRule;
 import io.nutmegseam.core.placement.PlacementPlanner.ServerCondition;
 import io.nutmegseam.core.platform.VmList;
+import io.nutmegseam.node.peer.Outbox;
 import io.nutmegseam.node.peer.generated.ConfigPull;
 import io.nutmegseam.node.peer.generated.Heartbeat;
 import io.nutmegseam.node.peer.generated.PeerFrame;
@@ -22,6 +23,7 @@
 public final class NodeControl implements BudgetControl.Reach {
   private static final long PLAN_MILLIS = 500;
   private static final long REPEAT_MILLIS = 20_000;
+  private static final long RECENT_MILLIS = 60_000;
 
   /** Loads and heartbeats go to other data centres once in this many rounds. */
   private static final int FAR_INTERVAL = 5;
@@ -339,7 +341,7 @@
 
   private void connectPeers() {
     Set<String> connected = outbox.connected();
-    for (LeaseRow row : membership.observer().live(context.nowMillis())) {
+    for (LeaseRow row : membership.observer().recent(context.nowMillis(), RECENT_MILLIS)) {
       boolean missing = !row.node().equals(context.node()) && !connected.contains(row.node());
       if (missing) {
         HostPort.parse(row.peerAddress()).ifPresent(connector);
--- a/node/src/main/java/io/nutmegseam/node/control/ServerStates.java
+++ b/node/src/main/java/io/nutmegseam/node/control/ServerStates.java
@@ -1,6 +1,7 @@
 package io.nutmegseam.node.control;
 
 import io.nutmegseam.core.config.BackendServerRecord;
+import io.nutmegseam.node.peer.Outbox;
 import io.nutmegseam.node.peer.generated.PeerFrame;
 import io.nutmegseam.node.peer.generated.ServerState;
 import java.util.Collection;
--- a/node/src/main/java/io/nutmegseam/node/control/StrikeControl.java
+++ b/node/src/main/java/io/nutmegseam/node/control/StrikeControl.java
@@ -3,6 +3,7 @@
 import io.nutmegseam.core.event.EventKind;
 import io.nutmegseam.core.event.EventSink;
 import io.nutmegseam.core.retry.StrikeBook;
+import io.nutmegseam.node.peer.Outbox;
 import io.nutmegseam.node.peer.generated.PeerFrame;
 import io.nutmegseam.node.peer.generated.StrikeNotice;
 import java.time.Clock;
--- /dev/null
+++ b/node/src/main/java/io/nutmegseam/node/daemon/HttpClients.java
@@ -0,0 +1,55 @@
+package io.nutmegseam.node.daemon;
+
+import io.nutmegseam.node.settings.NodeSettings.Timing;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import okhttp3.ConnectionPool;
+import okhttp3.Dispatcher;
+import okhttp3.OkHttpClient;
+
+/**
+ * The HTTP clients of a node. None repeats a request by itself.
+ *
+ * @param platform for the platform
+ * @param orders for control calls of engines
+ * @param completions for completions
+ * @param services for plain services; opens a connection for each call, so that a broken idle
+ *     connection is never mistaken for a call that may have run
+ */
+record HttpClients(
+    OkHttpClient platform, OkHttpClient orders, OkHttpClient completions, OkHttpClient services) {
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+  private static final int MAX_CONNECTIONS = 512;
+
+  static HttpClients create(Timing timing) {
+    OkHttpClient base =
+        new OkHttpClient.Builder()
+            .retryOnConnectionFailure(false)
+            .followRedirects(false)
+            .connectTimeout(CONNECT_TIMEOUT)
+            .connectionPool(new ConnectionPool(MAX_CONNECTIONS, 30, TimeUnit.SECONDS))
+            .dispatcher(dispatcher())
+            .build();
+    Duration platformTimeout = Duration.ofMillis(timing.platformTimeoutMillis());
+    Duration orderTimeout = Duration.ofMillis(timing.orderTimeoutMillis());
+    return new HttpClients(
+        base.newBuilder().callTimeout(platformTimeout).build(),
+        base.newBuilder().callTimeout(orderTimeout).build(),
+        base.newBuilder().readTimeout(Duration.ZERO).build(),
+        base.newBuilder()
+            .readTimeout(Duration.ZERO)
+            .connectionPool(new ConnectionPool(0, 1, TimeUnit.MILLISECONDS))
+            .build());
+  }
+
+  void close() {
+    platform.dispatcher().executorService().shutdown();
+  }
+
+  private static Dispatcher dispatcher() {
+    Dispatcher dispatcher = new Dispatcher();
+    dispatcher.setMaxRequests(MAX_CONNECTIONS);
+    dispatcher.setMaxRequestsPerHost(MAX_CONNECTIONS);
+    return dispatcher;
+  }
+}
--- /dev/null
+++ b/node/src/main/java/io/nutmegseam/node/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The node daemon: joins all parts, starts and stops them. */
+package io.nutmegseam.node.daemon;
--- /dev/null
+++ b/node/src/main/java/io/nutmegseam/node/http/WebServer.java
@@ -0,0 +1,82 @@
+package io.nutmegseam.node.http;
+
+import io.jooby.ExecutionMode;
+import io.jooby.Jooby;
+import io.jooby.ServerOptions;
+import io.jooby.StartupSummary;
+import io.jooby.netty.NettyServer;
+import io.nutmegseam.core.error.ErrorKind;
+import io.nutmegseam.core.error.ServeException;
+import io.nutmegseam.node.caller.Refusals;
+import io.nutmegseam.node.settings.HostPort;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.function.Consumer;
+
+/** One HTTP server with its own port and worker threads. */
+public final class WebServer implements AutoCloseable {
+  private static final int IO_THREADS = 2;
+
+  /** Bytes beyond the body limit that are still read, so that the refusal names both sizes. */
+  private static final int BODY_SLACK_BYTES = 64 << 10;
+
+  private final NettyServer server;
+  private final ExecutorService workers;
+
+  /**
+   * Starts a server.
+   *
+   * @param address the listening address
+   * @param workerThreads threads that run handlers
+   * @param bodyBytes largest request body, in bytes
+   * @param routes adds the routes
+   */
+  public WebServer(HostPort address, int workerThreads, int bodyBytes, Consumer<Jooby> routes) {
+    this.workers = Executors.newFixedThreadPool(workerThreads, WebServer::daemon);
+    Jooby app = new Jooby();
+    app.setExecutionMode(ExecutionMode.WORKER);
+    app.setStartupSummary(List.of(StartupSummary.NONE));
+    app.error(
+        (context, cause, code) -> {
+          ErrorKind kind = kind(code.value());
+          ServeException error = new ServeException(kind, String.valueOf(cause.getMessage()));
+          context.setResponseCode(kind.httpStatus());
+          context.setResponseType("application/json");
+          context.send(Refusals.body(error));
+        });
+    routes.accept(app);
+    this.server = new NettyServer(workers);
+    ServerOptions options =
+        new ServerOptions()
+            .setPort(address.port())
+            .setIoThreads(IO_THREADS)
+            .setWorkerThreads(workerThreads)
+            .setDefaultHeaders(false)
+            .setMaxRequestSize(bodyBytes + BODY_SLACK_BYTES);
+    options.setHost(address.host());
+    server.setOptions(options);
+    server.start(app);
+  }
+
+  @Override
+  public void close() {
+    server.stop();
+    workers.shutdownNow();
+  }
+
+  private static ErrorKind kind(int status) {
+    return switch (status) {
+      case 404, 405 -> ErrorKind.NOT_FOUND;
+      case 413 -> ErrorKind.BODY_TOO_LARGE;
+      case 400, 415 -> ErrorKind.BAD_REQUEST;
+      default -> ErrorKind.INTERNAL;
+    };
+  }
+
+  private static Thread daemon(Runnable task) {
+    Thread thread = new Thread(task, "traffic");
+    thread.setDaemon(true);
+    return thread;
+  }
+}
--- /dev/null
+++ b/node/src/main/java/io/nutmegseam/node/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP servers on Jooby. */
+package io.nutmegseam.node.http;
--- /dev/null
+++ b/node/src/main/java/io/nutmegseam/node/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Prometheus metrics of a node. */
+package io.nutmegseam.node.metrics;
--- /dev/null
+++ b/node/src/main/java/io/nutmegseam/node/operator/RecordWriter.java
@@ -0,0 +1,239 @@
+package io.nutmegseam.node.operator;
+
+import io.nutmegseam.core.config.Catalog;
+import io.nutmegseam.core.config.LocatedRecord;
+import io.nutmegseam.core.config.OperatorRecord;
+import io.nutmegseam.core.config.RecordChange;
+import io.nutmegseam.core.config.RecordKind;
+import io.nutmegseam.core.config.RecordParser;
+import io.nutmegseam.core.config.ReferenceCheck;
+import io.nutmegseam.core.error.ErrorKind;
+import io.nutmegseam.core.error.ServeException;
+import io.nutmegseam.core.json.Fault;
+import io.nutmegseam.core.lease.LeaseRow;
+import io.nutmegseam.core.platform.CommitResult;
+import io.nutmegseam.core.platform.Row;
+import io.nutmegseam.core.platform.RowCodec;
+import io.nutmegseam.core.platform.TableException;
+import io.nutmegseam.core.platform.TableService;
+import io.nutmegseam.core.platform.Transaction;
+import io.nutmegseam.node.control.ConfigRows;
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Supplier;
+
+/** Writes operator records: each change is one transaction on the head revision. */
+public final class RecordWriter {
+  private static final int MAX_ATTEMPTS = 5;
+  private static final int MAX_ROWS = 2_000;
+  private static final long RETRY_AFTER_MILLIS = 2_000;
+
+  private final TableService table;
+  private final Supplier<Catalog> catalog;
+  private final Supplier<List<LeaseRow>> liveNodes;
+  private final Clock wall;
+
+  /**
+   * Creates the writer.
+   *
+   * @param table the table service
+   * @param catalog returns the records in force
+   * @param liveNodes returns the leases of live nodes
+   * @param wall wall clock
+   */
+  public RecordWriter(
+      TableService table,
+      Supplier<Catalog> catalog,
+      Supplier<List<LeaseRow>> liveNodes,
+      Clock wall) {
+    this.table = table;
+    this.catalog = catalog;
+    this.liveNodes = liveNodes;
+    this.wall = wall;
+  }
+
+  /**
+   * A change that an operator asks for.
+   *
+   * @param changeId names the change; the same id is never applied twice
+   * @param operator who asks
+   * @param ifRevision the revision that the operator has seen; empty for any
+   */
+  public record Request(String changeId, String operator, OptionalLong ifRevision) {}
+
+  /**
+   * Writes the records of a file.
+   *
+   * @param request who asks for what
+   * @param text the file, one record or an array of records
+   * @return the revision of the change
+   * @throws ServeException if a record is not valid or the change is not accepted
+   */
+  public long apply(Request request, String text) throws ServeException {
+    List<Fault> faults = new ArrayList<>();
+    List<LocatedRecord> located = RecordParser.parse(text, faults);
+    if (faults.isEmpty()) {
+      checkReferences(located, faults);
+    }
+    if (!faults.isEmpty()) {
+      throw invalid(faults);
+    }
+    checkReadable(located);
+    List<RecordChange> changes = new ArrayList<>();
+    for (LocatedRecord record : located) {
+      changes.add(
+          new RecordChange(
+              record.record().kind(), record.record().name(), 0, Optional.of(record.text())));
+    }
+    return commit(request, changes);
+  }
+
+  /**
+   * Deletes a record.
+   *
+   * @param request who asks
+   * @param kind the record kind
+   * @param name the record's name
+   * @return the revision of the change
+   * @throws ServeException if the record is not there, is referred to, or the change is refused
+   */
+  public long delete(Request request, RecordKind kind, String name) throws ServeException {
+    if (catalog.get().find(kind, name).isEmpty()) {
+      throw new ServeException(
+          ErrorKind.UNKNOWN_RECORD, "no %s \"%s\"".formatted(kind.word(), name));
+    }
+    List<OperatorRecord> rest =
+        catalog.get().all().stream()
+            .filter(r -> !(r.kind() == kind && r.name().equals(name)))
+            .toList();
+    List<Fault> faults = new ArrayList<>();
+    ReferenceCheck references = new ReferenceCheck(rest);
+    rest.forEach(r -> references.check(new LocatedRecord(r, 1, 1, "", 0), faults));
+    if (!faults.isEmpty()) {
+      throw invalid(faults);
+    }
+    return commit(request, List.of(new RecordChange(kind, name, 0, Optional.empty())));
+  }
+
+  private void checkReferences(List<LocatedRecord> located, List<Fault> faults) {
+    ReferenceCheck references = new ReferenceCheck(catalog.get().all());
+    located.forEach(record -> references.add(record.record()));
+    located.forEach(record -> references.check(record, faults));
+  }
+
+  private void checkReadable(List<LocatedRecord> located) throws ServeException {
+    for (LeaseRow node : liveNodes.get()) {
+      for (LocatedRecord record : located) {
+        if (record.schemaVersion() > node.newestSchemaVersion()) {
+          throw new ServeException(
+              ErrorKind.UNREADABLE_VERSION,
+              "node \"%s\" reads schemaVersion %d at most, the record has %d"
+                  .formatted(node.node(), node.newestSchemaVersion(), record.schemaVersion()),
+              RETRY_AFTER_MILLIS);
+        }
+      }
+    }
+  }
+
+  private static ServeException invalid(List<Fault> faults) {
+    StringBuilder message = new StringBuilder();
+    for (Fault fault : faults) {
+      message.append(message.isEmpty() ? "" : "\n").append(fault.describe("record"));
+    }
+    return new ServeException(ErrorKind.INVALID_RECORD, message.toString());
+  }
+
+  private long commit(Request request, List<RecordChange> changes) throws ServeException {
+    try {
+      for (int attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+        OptionalLong revision = tryCommit(request, changes);
+        if (revision.isPresent()) {
+          return revision.getAsLong();
+        }
+      }
+    } catch (TableException e) {
+      throw new ServeException(
+          ErrorKind.PLATFORM_UNAVAILABLE,
+          "the change \"%s\" is not confirmed: %s".formatted(request.changeId(), e.getMessage()),
+          RETRY_AFTER_MILLIS);
+    }
+    throw new ServeException(
+        ErrorKind.REVISION_CONFLICT,
+        "other changes were faster %d times".formatted(MAX_ATTEMPTS),
+        RETRY_AFTER_MILLIS);
+  }
+
+  /** Tries once; empty if another change was faster. */
+  private OptionalLong tryCommit(Request request, List<RecordChange> changes)
+      throws TableException, ServeException {
+    Optional<Row> head = table.range(ConfigRows.HEAD_KEY, 0, 1).stream().findFirst();
+    long headRevision = head.map(ConfigRows::headRevision).orElse(0L);
+    OptionalLong earlier = findChange(request.changeId());
+    if (earlier.isPresent()) {
+      return earlier;
+    }
+    long wanted = request.ifRevision().orElse(headRevision);
+    if (wanted != headRevision) {
+      throw new ServeException(
+          ErrorKind.REVISION_CONFLICT,
+          "the revision is %d, not %d".formatted(headRevision, wanted));
+    }
+    long headVersion = head.map(Row::version).orElse(Transaction.ABSENT);
+    try {
+      CommitResult result =
+          table.commit(transaction(request, changes, headVersion, headRevision + 1));
+      return result.committed() ? OptionalLong.of(headRevision + 1) : OptionalLong.empty();
+    } catch (TableException e) {
+      OptionalLong applied = findChange(request.changeId());
+      if (applied.isPresent() || !e.mayHaveApplied()) {
+        return applied;
+      }
+      return OptionalLong.empty();
+    }
+  }
+
+  /** Returns the revision of a change that took effect although its answer was lost. */
+  private OptionalLong findChange(String changeId) throws TableException {
+    return table.range(ConfigRows.changeKey(changeId), 0, MAX_ROWS).stream()
+        .filter(row -> row.key().equals(ConfigRows.changeKey(changeId)))
+        .mapToLong(ConfigRows::headRevision)
+        .findFirst();
+  }
+
+  private Transaction transaction(
+      Request request, List<RecordChange> changes, long headVersion, long revision) {
+    List<Transaction.Put> puts = new ArrayList<>();
+    StringBuilder summary = new StringBuilder();
+    for (RecordChange change : changes) {
+      ConfigRows.StoredRecord stored =
+          new ConfigRows.StoredRecord(
+              change.kind().word(),
+              change.name(),
+              revision,
+              change.text().isEmpty(),
+              change.text().orElse(""));
+      puts.add(
+          new Transaction.Put(
+              ConfigRows.recordKey(change.kind(), change.name()), RowCodec.encode(stored)));
+      String verb = change.text().isEmpty() ? "delete " : "apply ";
+      summary.append(summary.isEmpty() ? "" : ", ").append(verb).append(change.kind().word());
+      summary.append("/").append(change.name());
+    }
+    ConfigRows.Head head = new ConfigRows.Head(revision);
+    ConfigRows.Audit audit =
+        new ConfigRows.Audit(
+            revision, request.changeId(), request.operator(), summary.toString(), wall.millis());
+    puts.add(new Transaction.Put(ConfigRows.HEAD_KEY, RowCodec.encode(head)));
+    puts.add(new Transaction.Put(ConfigRows.auditKey(revision), RowCodec.encode(audit)));
+    puts.add(new Transaction.Put(ConfigRows.changeKey(request.changeId()), RowCodec.encode(head)));
+    return new Transaction(
+        List.of(
+            new Transaction.Check(ConfigRows.HEAD_KEY, headVersion),
+            new Transaction.Check(ConfigRows.changeKey(request.changeId()), Transaction.ABSENT)),
+        List.copyOf(puts),
+        List.of());
+  }
+}
--- a/node/src/main/java/io/nutmegseam/node/control/Outbox.java
+++ b/node/src/main/java/io/nutmegseam/node/peer/Outbox.java
@@ -1,4 +1,4 @@
-package io.nutmegseam.node.control;
+package io.nutmegseam.node.peer;
 
 import io.nutmegseam.node.peer.generated.PeerFrame;
 import java.util.Set;
--- a/node/src/main/java/io/nutmegseam/node/peer/PeerNetwork.java
+++ b/node/src/main/java/io/nutmegseam/node/peer/PeerNetwork.java
@@ -34,7 +34,7 @@
  * One connection to each peer. Both nodes may open one; the frames of either are taken, and frames
  * go out on the one that was greeted last. Safe for use by several threads.
  */
-public final class PeerNetwork implements AutoCloseable {
+public final class PeerNetwork implements Outbox, AutoCloseable {
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
   private static final int SILENCE_SECONDS = 15;
   private static final int EVENT_LOOP_THREADS = 1;
@@ -113,13 +113,7 @@
         .addListener(done -> connecting.remove(address));
   }
 
-  /**
-   * Sends a frame.
-   *
-   * @param node the receiving node
-   * @param frame the frame without its timestamp
-   * @return whether there is a connection; delivery is not promised
-   */
+  @Override
   public boolean send(String node, PeerFrame.Builder frame) {
     Channel channel = channelByNode.get(node);
     if (channel == null || !channel.isActive()) {
@@ -131,7 +125,7 @@
     return true;
   }
 
-  /** Returns the nodes with a connection. */
+  @Override
   public Set<String> connected() {
     return Set.copyOf(channelByNode.keySet());
   }
--- /dev/null
+++ b/standin/src/main/java/io/nutmegseam/standin/world/StandinWorld.java
@@ -0,0 +1,73 @@
+package io.nutmegseam.standin.world;
+
+import io.nutmegseam.standin.engine.EngineStandin;
+import io.nutmegseam.standin.platform.PlatformStandin;
+import io.nutmegseam.standin.platform.WeightStore;
+import io.nutmegseam.standin.service.ServiceStandin;
+import java.io.IOException;
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.List;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+
+/** The stand-ins of one process. */
+public final class StandinWorld implements AutoCloseable {
+  private static final int ADAPTERS_IN_PARALLEL = 32;
+  private static final long ADAPTER_MILLIS = 8;
+  private static final MediaType JSON = MediaType.get("application/json");
+
+  private final List<AutoCloseable> parts = new ArrayList<>();
+
+  private StandinWorld() {}
+
+  /**
+   * Starts stand-ins.
+   *
+   * @param settings which ones
+   * @param clock the wall clock
+   */
+  public static StandinWorld start(StandinSettings settings, Clock clock) {
+    StandinWorld world = new StandinWorld();
+    if (settings.platformPort() > 0) {
+      WeightStore weights =
+          new WeightStore(
+              settings.loadsPerSecond(),
+              settings.loadsInParallel(),
+              ADAPTERS_IN_PARALLEL,
+              ADAPTER_MILLIS);
+      world.parts.add(new PlatformStandin(settings.platformPort(), weights));
+    }
+    EngineStandin.WeightSource source = remoteWeights(settings.platformAddress());
+    settings
+        .engines()
+        .forEach(e -> world.parts.add(new EngineStandin(e.port(), e.profile(), source, clock)));
+    settings.services().forEach(s -> world.parts.add(new ServiceStandin(s.port(), s.workMillis())));
+    return world;
+  }
+
+  /** Returns a weight source that fetches over HTTP from a platform stand-in. */
+  public static EngineStandin.WeightSource remoteWeights(String platformAddress) {
+    OkHttpClient client = new OkHttpClient.Builder().readTimeout(java.time.Duration.ZERO).build();
+    return adapter -> {
+      RequestBody body = RequestBody.create("{\"adapter\":" + adapter + "}", JSON);
+      Request request =
+          new Request.Builder().url(platformAddress + "/weights/fetch").post(body).build();
+      try (Response response = client.newCall(request).execute()) {
+        if (!response.isSuccessful()) {
+          throw new IOException("weight store answered " + response.code());
+        }
+      }
+    };
+  }
+
+  @Override
+  public void close() throws Exception {
+    for (AutoCloseable part : parts) {
+      part.close();
+    }
+  }
+}
