--- a/node/src/main/java/io/nutmegseam/node/caller/IdentifyFilter.java
+++ b/node/src/main/java/io/nutmegseam/node/caller/IdentifyFilter.java
@@ -72,6 +72,7 @@
    */
   public Call identify(String id, RawRequest raw) throws ServeException {
     String caller = caller(raw);
+    checkContentType(raw);
     if (raw.body().size() > settings.limits().bodyBytes()) {
       throw new ServeException(
           ErrorKind.BODY_TOO_LARGE,
@@ -81,6 +82,15 @@
     return raw.path().startsWith(SERVICES) ? service(id, caller, raw) : completion(id, caller, raw);
   }
 
+  /** Form bodies are decoded by the HTTP server and cannot be passed on byte by byte. */
+  private static void checkContentType(RawRequest raw) throws ServeException {
+    String type = raw.headers().apply("Content-Type").orElse("");
+    if (type.startsWith("application/x-www-form-urlencoded") || type.startsWith("multipart/")) {
+      throw new ServeException(
+          ErrorKind.BAD_REQUEST, "content type \"%s\" is not taken, send JSON".formatted(type));
+    }
+  }
+
   private Call completion(String id, String caller, RawRequest raw) throws ServeException {
     ObjectNode body = parse(raw.body());
     String unit = body.path("model").asText("");
--- a/node/src/main/java/io/nutmegseam/node/control/ConfigControl.java
+++ b/node/src/main/java/io/nutmegseam/node/control/ConfigControl.java
@@ -24,7 +24,7 @@
   private Catalog catalog = Catalog.empty();
   private long seenVersion;
   private boolean polling;
-  private boolean loaded;
+  private volatile boolean loaded;
 
   /**
    * Creates the part.
--- a/node/src/main/java/io/nutmegseam/node/control/MembershipControl.java
+++ b/node/src/main/java/io/nutmegseam/node/control/MembershipControl.java
@@ -25,19 +25,22 @@
   /** Leases of other data centres are read once in this many reads of the own one. */
   private static final int FAR_READ_INTERVAL = 10;
 
+  /** The first reads are of all data centres, so that a new node finds its peers. */
+  private static final int FIRST_FAR_READS = 5;
+
   private final NodeContext context;
   private final VmList vmList;
   private final LongSupplier revision;
-  private LeaseObserver observer;
+  private volatile LeaseObserver observer;
   private Set<String> leavingVms = Set.of();
   private long renewal;
   private long rowVersion = Transaction.ABSENT;
   private boolean rowKnown;
   private boolean leaving;
   private boolean renewing;
-  private boolean superseded;
+  private volatile boolean superseded;
   private boolean held;
-  private boolean everHeld;
+  private volatile boolean everHeld;
   private long lastReadMillis;
   private int reads;
 
@@ -85,6 +88,11 @@
     return superseded;
   }
 
+  /** Returns whether this node has held its lease. */
+  public boolean hasJoined() {
+    return everHeld && observer.row(context.node()).isPresent();
+  }
+
   /** Returns the leases as last read. */
   public LeaseObserver observer() {
     return observer;
@@ -175,8 +183,11 @@
     }
     rowVersion = written.version().get();
     rowKnown = true;
-    everHeld = true;
     noteHeld(true);
+    if (!everHeld) {
+      everHeld = true;
+      read();
+    }
   }
 
   private void noteHeld(boolean now) {
@@ -188,7 +199,8 @@
   }
 
   private void read() {
-    boolean far = reads++ % FAR_READ_INTERVAL == 0;
+    boolean far = reads < FIRST_FAR_READS || reads % FAR_READ_INTERVAL == 0;
+    reads++;
     String prefix = far ? LeaseRow.PREFIX : LeaseRow.PREFIX + context.dataCentre() + "/";
     context.thread().call(() -> context.table().range(prefix, 0, MAX_ROWS), this::onRead);
   }
--- a/node/src/main/java/io/nutmegseam/node/control/NodeControl.java
+++ b/node/src/main/java/io/nutmegseam/node/control/NodeControl.java
@@ -116,9 +116,13 @@
     thread.every(REPEAT_MILLIS, () -> states.repeatAll(ownership.owned()));
   }
 
-  /** Returns whether the node knows the configuration and may take requests. */
+  /**
+   * Returns whether the node knows the configuration and may take requests. While the platform is
+   * out, a configuration from a peer suffices.
+   */
   public boolean isReady() {
-    return config.isLoaded() && !membership.isSuperseded();
+    boolean joined = membership.hasJoined() || !context.health().isAvailable();
+    return config.isLoaded() && joined && !membership.isSuperseded();
   }
 
   /** Returns whether another process runs under this node's name. */
--- a/standin/src/main/java/io/nutmegseam/standin/world/StandinWorld.java
+++ b/standin/src/main/java/io/nutmegseam/standin/world/StandinWorld.java
@@ -20,7 +20,7 @@
   private static final long ADAPTER_MILLIS = 8;
   private static final MediaType JSON = MediaType.get("application/json");
 
-  private final List<AutoCloseable> parts = new ArrayList<>();
+  private final List<Runnable> closers = new ArrayList<>();
 
   private StandinWorld() {}
 
@@ -39,13 +39,18 @@
               settings.loadsInParallel(),
               ADAPTERS_IN_PARALLEL,
               ADAPTER_MILLIS);
-      world.parts.add(new PlatformStandin(settings.platformPort(), weights));
+      PlatformStandin platform = new PlatformStandin(settings.platformPort(), weights);
+      world.closers.add(platform::close);
     }
     EngineStandin.WeightSource source = remoteWeights(settings.platformAddress());
-    settings
-        .engines()
-        .forEach(e -> world.parts.add(new EngineStandin(e.port(), e.profile(), source, clock)));
-    settings.services().forEach(s -> world.parts.add(new ServiceStandin(s.port(), s.workMillis())));
+    for (StandinSettings.Engine engine : settings.engines()) {
+      EngineStandin standin = new EngineStandin(engine.port(), engine.profile(), source, clock);
+      world.closers.add(standin::close);
+    }
+    for (StandinSettings.Service service : settings.services()) {
+      ServiceStandin standin = new ServiceStandin(service.port(), service.workMillis());
+      world.closers.add(standin::close);
+    }
     return world;
   }
 
@@ -65,9 +70,7 @@
   }
 
   @Override
-  public void close() throws Exception {
-    for (AutoCloseable part : parts) {
-      part.close();
-    }
+  public void close() {
+    closers.forEach(Runnable::run);
   }
 }
