--- /dev/null
+++ b/core/src/test/java/io/nutmegseam/core/claim/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of claims. */
+package io.nutmegseam.core.claim;
--- /dev/null
+++ b/core/src/test/java/io/nutmegseam/core/coldstart/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of cold starts. */
+package io.nutmegseam.core.coldstart;
--- /dev/null
+++ b/core/src/test/java/io/nutmegseam/core/config/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of operator records. */
+package io.nutmegseam.core.config;
--- /dev/null
+++ b/core/src/test/java/io/nutmegseam/core/event/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the hybrid logical clock. */
+package io.nutmegseam.core.event;
--- /dev/null
+++ b/core/src/test/java/io/nutmegseam/core/lease/LeaseObserverTest.java
@@ -0,0 +1,86 @@
+package io.nutmegseam.core.lease;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class LeaseObserverTest {
+  private static final long LEASE_MILLIS = 1_000;
+
+  @Nested
+  class Renewals {
+    @Test
+    void should_lapse_only_after_the_lease_time_without_a_change_of_the_row() {
+      // GIVEN
+      LeaseObserver observer = LeaseObserver.of(LEASE_MILLIS).observe(List.of(row("i", 1)), 0);
+      // WHEN
+      LeaseObserver again = observer.observe(List.of(row("i", 1)), 900);
+      // THEN
+      assertThat(again.status("n", "i", 1_000)).isEqualTo(HolderStatus.LIVE);
+      assertThat(again.status("n", "i", 1_001)).isEqualTo(HolderStatus.LAPSED);
+    }
+
+    @Test
+    void should_be_live_again_after_a_renewal() {
+      // GIVEN
+      LeaseObserver observer = LeaseObserver.of(LEASE_MILLIS).observe(List.of(row("i", 1)), 0);
+      // WHEN
+      LeaseObserver renewed = observer.observe(List.of(row("i", 2)), 5_000);
+      // THEN
+      assertThat(renewed.status("n", "i", 5_500)).isEqualTo(HolderStatus.LIVE);
+    }
+
+    @Test
+    void should_not_take_time_without_reads_for_a_lapse() {
+      // GIVEN
+      LeaseObserver observer = LeaseObserver.of(LEASE_MILLIS).observe(List.of(row("i", 1)), 0);
+      // WHEN
+      LeaseObserver afterOutage = observer.restartWatch(60_000);
+      // THEN
+      assertThat(afterOutage.status("n", "i", 60_500)).isEqualTo(HolderStatus.LIVE);
+    }
+  }
+
+  @Nested
+  class Gone {
+    @Test
+    void should_say_replaced_if_another_incarnation_has_the_row() {
+      // GIVEN
+      LeaseObserver observer = LeaseObserver.of(LEASE_MILLIS).observe(List.of(row("new", 1)), 0);
+      // WHEN
+      HolderStatus status = observer.status("n", "old", 0);
+      // THEN
+      assertThat(status).isEqualTo(HolderStatus.REPLACED);
+    }
+
+    @Test
+    void should_say_gone_only_for_a_vm_that_was_on_the_list_before() {
+      // GIVEN
+      LeaseObserver observer = LeaseObserver.of(LEASE_MILLIS).observe(List.of(row("i", 1)), 0);
+      // WHEN
+      LeaseObserver neverListed = observer.withVms(Set.of("other"));
+      LeaseObserver removed = observer.withVms(Set.of("vm", "other")).withVms(Set.of("other"));
+      // THEN
+      assertThat(neverListed.status("n", "i", 2_000)).isEqualTo(HolderStatus.LAPSED);
+      assertThat(removed.status("n", "i", 2_000)).isEqualTo(HolderStatus.VM_GONE);
+    }
+
+    @Test
+    void should_take_an_unknown_holder_for_live() {
+      // GIVEN
+      LeaseObserver observer = LeaseObserver.of(LEASE_MILLIS);
+      // WHEN
+      HolderStatus status = observer.status("stranger", "i", 0);
+      // THEN
+      assertThat(status).isEqualTo(HolderStatus.LIVE);
+    }
+  }
+
+  private static LeaseRow row(String incarnation, long renewal) {
+    return new LeaseRow(
+        "n", incarnation, "dc", "vm", "127.0.0.1:1", "http://h", renewal, false, 2, 0);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/io/nutmegseam/core/lease/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of leases. */
+package io.nutmegseam.core.lease;
--- /dev/null
+++ b/core/src/test/java/io/nutmegseam/core/memory/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the memory ledger. */
+package io.nutmegseam.core.memory;
--- /dev/null
+++ b/core/src/test/java/io/nutmegseam/core/ownership/OwnershipProperties.java
@@ -0,0 +1,73 @@
+package io.nutmegseam.core.ownership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.nutmegseam.core.lease.HolderStatus;
+import java.util.stream.LongStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class OwnershipProperties {
+  private static final int STEPS = 400;
+  private static final int TRIES = 2_000;
+  private static final String SEED = "4711";
+
+  @Property(tries = TRIES, seed = SEED, shrinking = ShrinkingMode.BOUNDED)
+  void should_never_overcommit_memory_of_a_server_with_fencing(@ForAll long seed) {
+    OwnershipWorld world = new OwnershipWorld(seed, true, true, TakeoverRule.standard());
+    world.run(STEPS);
+    assertThat(world.peakBytes())
+        .as(() -> String.join("\n", world.trace()))
+        .isLessThanOrEqualTo(OwnershipWorld.CAPACITY_BYTES);
+  }
+
+  @Property(tries = TRIES, seed = SEED, shrinking = ShrinkingMode.BOUNDED)
+  void should_never_overcommit_memory_of_a_server_without_fencing(@ForAll long seed) {
+    OwnershipWorld world = new OwnershipWorld(seed, false, false, TakeoverRule.standard());
+    world.run(STEPS);
+    assertThat(world.peakBytes())
+        .as(() -> String.join("\n", world.trace()))
+        .isLessThanOrEqualTo(OwnershipWorld.CAPACITY_BYTES);
+  }
+
+  @Nested
+  class WithTheRuleBroken {
+    @Test
+    void should_find_overcommitted_memory_if_a_lapsed_lease_is_enough_without_fencing() {
+      // GIVEN
+      TakeoverRule broken =
+          (holder, checksFencing) ->
+              holder == HolderStatus.LAPSED
+                  || TakeoverRule.standard().mayTake(holder, checksFencing);
+      // WHEN
+      long violations = violations(false, false, broken);
+      // THEN
+      assertThat(violations).isPositive();
+    }
+
+    @Test
+    void should_find_overcommitted_memory_if_the_engine_does_not_check_epochs_as_declared() {
+      // GIVEN
+      boolean declared = true;
+      boolean actual = false;
+      // WHEN
+      long violations = violations(declared, actual, TakeoverRule.standard());
+      // THEN
+      assertThat(violations).isPositive();
+    }
+
+    private long violations(boolean declared, boolean actual, TakeoverRule rule) {
+      return LongStream.range(0, TRIES)
+          .filter(
+              seed -> {
+                OwnershipWorld world = new OwnershipWorld(seed, declared, actual, rule);
+                world.run(STEPS);
+                return world.peakBytes() > OwnershipWorld.CAPACITY_BYTES;
+              })
+          .count();
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/io/nutmegseam/core/ownership/OwnershipWorld.java
@@ -0,0 +1,245 @@
+package io.nutmegseam.core.ownership;
+
+import io.nutmegseam.core.backend.Inventory;
+import io.nutmegseam.core.backend.Inventory.Item;
+import io.nutmegseam.core.backend.Inventory.ItemState;
+import io.nutmegseam.core.lease.HolderStatus;
+import io.nutmegseam.core.memory.MemoryLedger;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+/**
+ * One backend server, its row, its engine and two nodes that run the production state machine.
+ * Every step is one random event: messages are late, lost or crossed, nodes pause and restart.
+ */
+final class OwnershipWorld {
+  static final long CAPACITY_BYTES = 10;
+  private static final long UNIT_BYTES = 6;
+  private static final long SETTLE_MILLIS = 50;
+  private static final long LEASE_MILLIS = 30;
+  private static final int STEP_MILLIS = 5;
+
+  private final Random random;
+  private final boolean checksFencing;
+  private final boolean engineChecks;
+  private final TakeoverRule takeover;
+  private final List<Node> nodes = new ArrayList<>();
+  private final List<Runnable> inFlight = new ArrayList<>();
+  private final Map<String, Long> loaded = new LinkedHashMap<>();
+  private final List<String> trace = new ArrayList<>();
+  private ServerRow row = ServerRow.unowned();
+  private long version;
+  private long fence;
+  private long nowMillis = 1_000;
+  private long peakBytes;
+
+  private static final class Node {
+    private final String name;
+    private int incarnation;
+    private ServerOwnership state;
+    private MemoryLedger ledger = MemoryLedger.of(CAPACITY_BYTES);
+    private boolean settled;
+    private long aliveAtMillis;
+    private int ordersInFlight;
+
+    private Node(String name) {
+      this.name = name;
+    }
+
+    private String id() {
+      return name + "#" + incarnation;
+    }
+  }
+
+  OwnershipWorld(long seed, boolean checksFencing, boolean engineChecks, TakeoverRule takeover) {
+    this.random = new Random(seed);
+    this.checksFencing = checksFencing;
+    this.engineChecks = engineChecks;
+    this.takeover = takeover;
+    for (String name : List.of("a", "b")) {
+      Node node = new Node(name);
+      start(node);
+      nodes.add(node);
+    }
+  }
+
+  long peakBytes() {
+    return peakBytes;
+  }
+
+  List<String> trace() {
+    return trace;
+  }
+
+  void run(int steps) {
+    for (int i = 0; i < steps; i++) {
+      nowMillis += STEP_MILLIS;
+      step();
+    }
+  }
+
+  private void step() {
+    Node node = nodes.get(random.nextInt(nodes.size()));
+    switch (random.nextInt(12)) {
+      case 0, 1, 2 -> {
+        if (!inFlight.isEmpty()) {
+          inFlight.remove(random.nextInt(inFlight.size())).run();
+        }
+      }
+      case 3, 4 -> review(node);
+      case 5, 6 -> handle(node, new OwnershipEvent.RowSeen(row, version, nowMillis));
+      case 7 -> readInventory(node);
+      case 8, 9 -> order(node);
+      case 10 -> node.aliveAtMillis = nowMillis;
+      default -> {
+        if (random.nextInt(6) == 0) {
+          start(node);
+        }
+      }
+    }
+  }
+
+  /** Starts a new process on the node's address; the old one is gone, its orders are not. */
+  private void start(Node node) {
+    node.incarnation++;
+    node.state = ServerOwnership.watching(node.name, node.id(), checksFencing, SETTLE_MILLIS);
+    node.settled = false;
+    node.ledger = MemoryLedger.of(CAPACITY_BYTES);
+    node.ordersInFlight = 0;
+    node.aliveAtMillis = nowMillis;
+    trace.add(nowMillis + " start " + node.id());
+  }
+
+  private void review(Node node) {
+    boolean preferred = random.nextInt(4) != 0;
+    handle(
+        node,
+        new OwnershipEvent.Review(preferred, holder(node), node.ordersInFlight > 0, nowMillis));
+  }
+
+  private HolderStatus holder(Node observer) {
+    if (row.owner().isEmpty()) {
+      return HolderStatus.NONE;
+    }
+    Node holder = row.owner().equals("a") ? nodes.get(0) : nodes.get(1);
+    if (!holder.id().equals(row.incarnation())) {
+      return HolderStatus.REPLACED;
+    }
+    if (holder == observer) {
+      return HolderStatus.SELF;
+    }
+    boolean lapsed = nowMillis - holder.aliveAtMillis > LEASE_MILLIS;
+    return lapsed ? HolderStatus.LAPSED : HolderStatus.LIVE;
+  }
+
+  private void handle(Node node, OwnershipEvent event) {
+    String before = node.state.phase().name();
+    ServerOwnership.Step step = node.state.on(event, takeover);
+    node.state = step.next();
+    if (!before.equals(node.state.phase().name())) {
+      trace.add(nowMillis + " " + node.id() + " " + before + " -> " + node.state.phase());
+    }
+    step.actions().forEach(action -> act(node, action));
+  }
+
+  private void act(Node node, OwnershipAction action) {
+    String id = node.id();
+    if (action instanceof OwnershipAction.WriteRow write) {
+      inFlight.add(() -> writeRow(node, id, write));
+    } else if (action instanceof OwnershipAction.ClaimEngine claim) {
+      inFlight.add(() -> claim(node, id, claim.epoch()));
+    } else if (action instanceof OwnershipAction.BecomeOwner) {
+      node.settled = false;
+      node.ledger = MemoryLedger.of(CAPACITY_BYTES);
+    }
+  }
+
+  private void writeRow(Node node, String id, OwnershipAction.WriteRow write) {
+    boolean applies = version == write.expectedVersion();
+    if (applies) {
+      row = write.row();
+      version++;
+    }
+    if (!node.id().equals(id)) {
+      return;
+    }
+    if (random.nextInt(4) == 0) {
+      handle(node, new OwnershipEvent.RowUnknown());
+    } else if (applies) {
+      handle(node, new OwnershipEvent.RowWritten(version, nowMillis));
+    } else {
+      handle(node, new OwnershipEvent.RowRefused());
+    }
+  }
+
+  private void claim(Node node, String id, long epoch) {
+    boolean accepted = passes(epoch);
+    if (node.id().equals(id) && random.nextInt(5) != 0) {
+      handle(
+          node, accepted ? new OwnershipEvent.EngineClaimed() : new OwnershipEvent.EngineFenced());
+    }
+  }
+
+  private boolean passes(long epoch) {
+    if (engineChecks && epoch < fence) {
+      return false;
+    }
+    fence = Math.max(fence, epoch);
+    return true;
+  }
+
+  private void readInventory(Node node) {
+    List<Item> items = new ArrayList<>();
+    loaded.forEach((unit, bytes) -> items.add(new Item(unit, ItemState.LOADED, bytes)));
+    Inventory inventory = new Inventory("engine", fence, false, items);
+    node.ledger = node.ledger.settle(inventory, nowMillis, SETTLE_MILLIS);
+    node.settled = true;
+  }
+
+  private void order(Node node) {
+    if (!node.state.mayOrder() || !node.settled) {
+      return;
+    }
+    String unit = random.nextBoolean() ? "m1" : "m2";
+    long epoch = node.state.row().epoch();
+    String id = node.id();
+    if (node.ledger.entry(unit).isPresent()) {
+      node.ledger = node.ledger.unloading(unit, nowMillis);
+      send(node, id, epoch, () -> loaded.remove(unit));
+    } else {
+      node.ledger
+          .reserve(unit, UNIT_BYTES, nowMillis)
+          .ifPresent(
+              reserved -> {
+                node.ledger = reserved;
+                send(node, id, epoch, () -> load(unit));
+              });
+    }
+  }
+
+  /** Puts an order on the network; it arrives or is lost within the settle time. */
+  private void send(Node node, String id, long epoch, Runnable effect) {
+    node.ordersInFlight++;
+    long lostAtMillis = nowMillis + SETTLE_MILLIS;
+    trace.add(nowMillis + " order of " + id + " epoch " + epoch);
+    inFlight.add(
+        () -> {
+          if (node.id().equals(id)) {
+            node.ordersInFlight--;
+          }
+          if (nowMillis < lostAtMillis && random.nextInt(8) != 0 && passes(epoch)) {
+            effect.run();
+          }
+        });
+  }
+
+  private void load(String unit) {
+    loaded.put(unit, UNIT_BYTES);
+    long used = loaded.values().stream().mapToLong(Long::longValue).sum();
+    peakBytes = Math.max(peakBytes, used);
+    trace.add(nowMillis + " loaded " + loaded.keySet());
+  }
+}
--- /dev/null
+++ b/core/src/test/java/io/nutmegseam/core/ownership/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of server ownership. */
+package io.nutmegseam.core.ownership;
--- /dev/null
+++ b/core/src/test/java/io/nutmegseam/core/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the decisions. */
+package io.nutmegseam.core;
--- /dev/null
+++ b/core/src/test/java/io/nutmegseam/core/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of placements. */
+package io.nutmegseam.core.placement;
--- /dev/null
+++ b/core/src/test/java/io/nutmegseam/core/routing/RoutingTest.java
@@ -0,0 +1,170 @@
+package io.nutmegseam.core.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowableOfType;
+
+import io.nutmegseam.core.admission.AdmissionRule;
+import io.nutmegseam.core.error.ErrorKind;
+import io.nutmegseam.core.error.ServeException;
+import io.nutmegseam.core.retry.RetryBudget;
+import io.nutmegseam.core.retry.StrikeBook;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class RoutingTest {
+  @Nested
+  class Choice {
+    @Test
+    void should_choose_the_server_that_completes_first() {
+      // GIVEN
+      List<Candidate> candidates = List.of(candidate("slow", 10, 0), candidate("fast", 100, 0));
+      // WHEN
+      var chosen = RoutingPolicy.expectedCompletion().choose(candidates, 10, 100, new Random(1));
+      // THEN
+      assertThat(chosen).hasValueSatisfying(c -> assertThat(c.server()).isEqualTo("fast"));
+    }
+
+    @Test
+    void should_not_send_all_requests_to_the_one_server_that_looks_best() {
+      // GIVEN
+      List<Candidate> candidates =
+          IntStream.range(0, 10).mapToObj(i -> candidate("s" + i, 50 + i, 0)).toList();
+      Random random = new Random(7);
+      // WHEN
+      long servers =
+          IntStream.range(0, 200)
+              .mapToObj(
+                  i ->
+                      RoutingPolicy.expectedCompletion()
+                          .choose(candidates, 10, 100, random)
+                          .orElseThrow()
+                          .server())
+              .distinct()
+              .count();
+      // THEN
+      assertThat(servers).isGreaterThan(4);
+    }
+
+    @Test
+    void should_trust_an_old_load_report_less() {
+      // GIVEN
+      Candidate fresh = new Candidate("s", 0, 8, 0, 50, 1, false);
+      Candidate old = new Candidate("s", 0, 8, 10_000, 50, 1, false);
+      // WHEN
+      double freshMillis = fresh.expectedMillis(0, 100);
+      double oldMillis = old.expectedMillis(0, 100);
+      // THEN
+      assertThat(oldMillis).isLessThan(freshMillis);
+    }
+  }
+
+  @Nested
+  class Ejection {
+    @Property(tries = 200, seed = "99")
+    void should_never_pass_over_more_than_half_of_the_servers(
+        @ForAll @IntRange(min = 1, max = 12) int servers,
+        @ForAll @IntRange(min = 0, max = 12) int failing) {
+      // GIVEN
+      List<Candidate> candidates =
+          IntStream.range(0, servers).mapToObj(i -> candidate("s" + i, 50, 0)).toList();
+      OutlierEjection ejection = OutlierEjection.none();
+      for (int i = 0; i < Math.min(failing, servers); i++) {
+        for (int failure = 0; failure < 3; failure++) {
+          ejection = ejection.failed("s" + i, 0);
+        }
+      }
+      // WHEN
+      List<Candidate> kept = ejection.filter(candidates, 1);
+      // THEN
+      assertThat(kept.size() * 2).isGreaterThanOrEqualTo(servers);
+    }
+  }
+
+  @Nested
+  class Ownership {
+    @Test
+    void should_move_few_servers_if_a_node_leaves() {
+      // GIVEN
+      List<String> nodes = IntStream.range(0, 10).mapToObj(i -> "node-" + i).toList();
+      List<String> fewer = nodes.subList(1, nodes.size());
+      // WHEN
+      long moved =
+          IntStream.range(0, 1_000)
+              .mapToObj(i -> "server-" + i)
+              .filter(s -> !Rendezvous.pick(s, nodes).equals(Rendezvous.pick(s, fewer)))
+              .count();
+      // THEN
+      assertThat(moved).isBetween(50L, 160L);
+    }
+  }
+
+  @Nested
+  class Admission {
+    @ParameterizedTest
+    @CsvSource({
+      "0, 10, 1000, 1001, true, DEADLINE_INFEASIBLE",
+      "10, 10, 1000, 0, true, QUEUE_FULL",
+      "0, 10, 1000, 0, false, NO_BACKEND_SERVER"
+    })
+    void should_refuse_at_once_and_say_when_to_come_back(
+        int waiting,
+        int limit,
+        long remainingMillis,
+        long expectedMillis,
+        boolean possible,
+        ErrorKind kind) {
+      // GIVEN
+      AdmissionRule.Situation situation =
+          new AdmissionRule.Situation(
+              "m", waiting, limit, remainingMillis, expectedMillis, possible);
+      // WHEN
+      ServeException refusal =
+          catchThrowableOfType(ServeException.class, () -> AdmissionRule.check(situation));
+      // THEN
+      assertThat(refusal.kind()).isEqualTo(kind);
+      assertThat(refusal.retryAfterMillis()).isPositive();
+    }
+  }
+
+  @Nested
+  class Repeats {
+    @Test
+    void should_allow_retries_only_as_a_share_of_fresh_requests() {
+      // GIVEN
+      RetryBudget budget = new RetryBudget();
+      int allowed = 0;
+      // WHEN
+      for (int i = 0; i < 1_000; i++) {
+        budget.onFreshRequest(10);
+        allowed += budget.tryRetry() ? 1 : 0;
+      }
+      // THEN
+      assertThat(allowed).isBetween(100, 111);
+    }
+
+    @Test
+    void should_count_one_crash_once_and_forget_it_after_its_time() {
+      // GIVEN
+      StrikeBook book =
+          StrikeBook.of(100).strike("f", "s@1", 0).strike("f", "s@1", 10).strike("f", "t@1", 50);
+      // WHEN
+      int now = book.strikes("f", 60);
+      int later = book.strikes("f", 120);
+      // THEN
+      assertThat(now).isEqualTo(2);
+      assertThat(later).isEqualTo(1);
+    }
+  }
+
+  private static Candidate candidate(String server, double tokensPerSecond, int outstanding) {
+    return new Candidate(server, outstanding, 0, 0, tokensPerSecond, 1, false);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/io/nutmegseam/core/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of routing, admission and repeats. */
+package io.nutmegseam.core.routing;
