--- a/node/src/main/java/io/nutmegseam/node/command/CommandLine.java
+++ b/node/src/main/java/io/nutmegseam/node/command/CommandLine.java
@@ -87,7 +87,7 @@
       return ExitStatus.USAGE;
     }
     NodeDaemon daemon = new NodeDaemon(settings.get());
-    Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "shutdown"));
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(daemon), "shutdown"));
     daemon.start();
     try {
       Thread.currentThread().join();
@@ -97,6 +97,12 @@
     return ExitStatus.OK;
   }
 
+  /** Ends the process with status 0 once the node has stopped, also after a signal. */
+  private static void shutDown(NodeDaemon daemon) {
+    daemon.stop();
+    Runtime.getRuntime().halt(ExitStatus.OK.code());
+  }
+
   private ExitStatus apply(Namespace arguments) throws CommandException {
     Map<String, String> headers = changeHeaders();
     Long ifRevision = arguments.getLong("if_revision");
--- a/node/src/main/java/io/nutmegseam/node/control/MembershipControl.java
+++ b/node/src/main/java/io/nutmegseam/node/control/MembershipControl.java
@@ -135,7 +135,7 @@
         context.incarnation(),
         context.dataCentre(),
         context.settings().vm(),
-        context.settings().peerAddress().toString(),
+        context.settings().peerAdvertisedAddress().toString(),
         "http://" + context.settings().operatorAddress(),
         renewal,
         leaving,
--- a/node/src/main/java/io/nutmegseam/node/settings/NodeSettings.java
+++ b/node/src/main/java/io/nutmegseam/node/settings/NodeSettings.java
@@ -11,6 +11,7 @@
  * @param callerAddress where callers reach it
  * @param operatorAddress where operators reach it
  * @param peerAddress where peers reach it
+ * @param peerAdvertisedAddress address that peers dial
  * @param platformAddress base address of the platform
  * @param peerSeeds peers to ask while the platform is out
  * @param clusterToken secret shared by all nodes
@@ -27,6 +28,7 @@
     HostPort callerAddress,
     HostPort operatorAddress,
     HostPort peerAddress,
+    HostPort peerAdvertisedAddress,
     String platformAddress,
     List<HostPort> peerSeeds,
     String clusterToken,
--- a/node/src/main/java/io/nutmegseam/node/settings/SettingsParser.java
+++ b/node/src/main/java/io/nutmegseam/node/settings/SettingsParser.java
@@ -45,6 +45,7 @@
         address(root, "callerAddress", fields.text("callerAddress"), faults),
         address(root, "operatorAddress", fields.text("operatorAddress"), faults),
         address(root, "peerAddress", fields.text("peerAddress"), faults),
+        advertised(root, fields, faults),
         fields.text("platformAddress"),
         List.copyOf(seeds),
         fields.text("clusterToken"),
@@ -91,6 +92,12 @@
     return address.orElse(new HostPort("", 1));
   }
 
+  private static HostPort advertised(JsonValue root, TypedObject fields, List<Fault> faults) {
+    boolean given = !fields.text("peerAdvertisedAddress").isEmpty();
+    String key = given ? "peerAdvertisedAddress" : "peerAddress";
+    return address(root, key, fields.text(key), given ? faults : new ArrayList<>());
+  }
+
   private static void checkTimes(JsonValue root, NodeSettings.Timing timing, List<Fault> faults) {
     if (timing.renewMillis() * 2 > timing.leaseMillis()) {
       String message =
--- a/node/src/main/java/io/nutmegseam/node/settings/SettingsSchema.java
+++ b/node/src/main/java/io/nutmegseam/node/settings/SettingsSchema.java
@@ -23,6 +23,8 @@
           FieldSpec.text("callerAddress", "IP number and port for callers"),
           FieldSpec.text("operatorAddress", "IP number and port for operators"),
           FieldSpec.text("peerAddress", "IP number and port for other nodes"),
+          FieldSpec.optionalText(
+              "peerAdvertisedAddress", "", "address that peers dial; empty: `peerAddress`"),
           FieldSpec.text("platformAddress", "base address of the platform's services"),
           FieldSpec.texts("peerSeeds", "peer addresses to ask while the platform is out"),
           FieldSpec.optionalText("clusterToken", "", "secret shared by all nodes"),
--- /dev/null
+++ b/standin/src/test/java/io/nutmegseam/standin/process/Cluster.java
@@ -0,0 +1,336 @@
+package io.nutmegseam.standin.process;
+
+import static org.awaitility.Awaitility.await;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.nutmegseam.standin.engine.EngineProfile;
+import io.nutmegseam.standin.engine.EngineStandin;
+import io.nutmegseam.standin.platform.PlatformStandin;
+import io.nutmegseam.standin.platform.WeightStore;
+import io.nutmegseam.standin.service.ServiceStandin;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+
+/** Stand-ins in this process and nodes in processes of their own. */
+final class Cluster implements AutoCloseable {
+  static final long GIBIBYTE = 1L << 30;
+  static final Duration PATIENCE = Duration.ofSeconds(30);
+  private static final MediaType JSON = MediaType.get("application/json");
+  private static final long SERVICE_MILLIS = 50;
+
+  private final Path folder;
+  private final PlatformStandin platform;
+  private final Map<String, EngineStandin> engines = new LinkedHashMap<>();
+  private final Map<String, ServiceStandin> services = new LinkedHashMap<>();
+  private final Map<String, NodeProcess> nodes = new LinkedHashMap<>();
+  private final Map<String, CuttableLink> platformLinks = new LinkedHashMap<>();
+  private final Map<String, CuttableLink> peerLinks = new LinkedHashMap<>();
+  private final List<String> records = new ArrayList<>();
+  private final Invariants invariants;
+  private final OkHttpClient client =
+      new OkHttpClient.Builder()
+          .retryOnConnectionFailure(false)
+          .readTimeout(60, TimeUnit.SECONDS)
+          .build();
+
+  Cluster() {
+    try {
+      this.folder = Files.createTempDirectory("nutmegseam-test");
+    } catch (IOException e) {
+      throw new AssertionError(e);
+    }
+    this.platform = new PlatformStandin(0, new WeightStore(10, 4, 32, 8));
+    this.invariants = new Invariants(engines);
+  }
+
+  Cluster dataCentre(String name) {
+    records.add("{'schemaVersion':2,'kind':'DataCentre','name':'%s','region':'r'}".formatted(name));
+    return this;
+  }
+
+  Cluster engine(String name, String dataCentre, int memoryGib, boolean fencing) {
+    EngineProfile profile =
+        new EngineProfile(name, memoryGib * GIBIBYTE, 1, 200, fencing, Set.of(), 100, 100, 1_500);
+    EngineStandin engine =
+        new EngineStandin(0, profile, platform.weights()::fetch, Clock.systemUTC());
+    engines.put(name, engine);
+    records.add(
+        ("{'schemaVersion':1,'kind':'BackendServer','name':'%s','address':'%s','dataCentre':'%s',"
+                + "'vm':'vm-%s','memoryGib':%d,'tokensPerSecond':200,'checksFencing':%s}")
+            .formatted(name, engine.address(), dataCentre, name, memoryGib, fencing));
+    return this;
+  }
+
+  Cluster service(String server, String service, String dataCentre) {
+    ServiceStandin standin = new ServiceStandin(0, SERVICE_MILLIS);
+    services.put(server, standin);
+    records.add(
+        ("{'schemaVersion':2,'kind':'Service','name':'%s','calls':["
+                + "{'path':'/look','idempotent':true,'timeoutMillis':8000},"
+                + "{'path':'/pay','idempotent':false,'timeoutMillis':8000}]}")
+            .formatted(service));
+    records.add(
+        ("{'schemaVersion':2,'kind':'BackendServer','name':'%s','address':'%s','dataCentre':'%s',"
+                + "'vm':'vm-%s','service':'%s'}")
+            .formatted(server, standin.address(), dataCentre, server, service));
+    return this;
+  }
+
+  Cluster model(String name, int memoryGib, int replicas) {
+    invariants.decide(name, replicas);
+    records.add(
+        ("{'schemaVersion':2,'kind':'Model','name':'%s','memoryBytes':%d,'maxReplicas':%d,"
+                + "'loadMillis':500}")
+            .formatted(name, memoryGib * GIBIBYTE, replicas));
+    return this;
+  }
+
+  Cluster record(String text) {
+    records.add(text);
+    return this;
+  }
+
+  Cluster node(String name, String dataCentre, String... seeds) {
+    try {
+      int[] ports = freePorts(3);
+      CuttableLink toPlatform =
+          new CuttableLink(Integer.parseInt(platform.address().replaceAll(".*:", "")));
+      CuttableLink toPeer = new CuttableLink(ports[2]);
+      platformLinks.put(name, toPlatform);
+      peerLinks.put(name, toPeer);
+      List<String> addresses = new ArrayList<>();
+      for (String seed : seeds) {
+        addresses.add("'127.0.0.1:" + nodes.get(seed).peerPort() + "'");
+      }
+      String settings =
+          ("{'node':'%s','vm':'vm-%s','dataCentre':'%s','callerAddress':'127.0.0.1:%d',"
+                  + "'operatorAddress':'127.0.0.1:%d','peerAddress':'127.0.0.1:%d',"
+                  + "'peerAdvertisedAddress':'127.0.0.1:%d',"
+                  + "'platformAddress':'http://127.0.0.1:%d','clusterToken':'t','peerSeeds':%s,"
+                  + "'leaseMillis':1500,'renewMillis':300,'pollMillis':200,'settleMillis':1200,"
+                  + "'orderTimeoutMillis':800,'platformTimeoutMillis':800,'reportMillis':200}")
+              .formatted(
+                  name,
+                  name,
+                  dataCentre,
+                  ports[0],
+                  ports[1],
+                  ports[2],
+                  toPeer.port(),
+                  toPlatform.port(),
+                  addresses);
+      Path file = folder.resolve(name + ".json");
+      Files.writeString(file, settings.replace('\'', '"'));
+      nodes.put(
+          name,
+          new NodeProcess(name, file, folder.resolve(name + ".log"), ports[0], ports[1], ports[2]));
+      return this;
+    } catch (IOException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  /** Starts the nodes, applies the records and waits until every engine is owned and placed. */
+  Cluster start() {
+    nodes.values().forEach(NodeProcess::start);
+    nodes.keySet().forEach(this::awaitReady);
+    apply("[" + String.join(",", records) + "]");
+    String first = nodes.keySet().iterator().next();
+    awaitThat(
+        () -> {
+          JsonNode servers = status(first).path("servers");
+          long owned = 0;
+          for (JsonNode server : servers) {
+            boolean reached = server.path("reachable").asBoolean();
+            owned += reached && engines.containsKey(server.path("server").asText()) ? 1 : 0;
+          }
+          return owned == engines.size();
+        });
+    awaitThat(() -> operator(first, "/v1/placements").size() >= invariants.models());
+    awaitThat(
+        () -> {
+          for (JsonNode node : status(first).path("nodes")) {
+            if (!node.path("connected").asBoolean()) {
+              return false;
+            }
+          }
+          return status(first).path("nodes").size() == nodes.size();
+        });
+    invariants.start();
+    return this;
+  }
+
+  void awaitReady(String node) {
+    awaitThat(() -> get(nodes.get(node).operators() + "/readyz").status() == 200);
+  }
+
+  static void awaitThat(Callable<Boolean> condition) {
+    await()
+        .atMost(PATIENCE)
+        .pollInterval(Duration.ofMillis(50))
+        .ignoreExceptions()
+        .until(condition);
+  }
+
+  PlatformStandin platform() {
+    return platform;
+  }
+
+  EngineStandin engine(String name) {
+    return engines.get(name);
+  }
+
+  ServiceStandin service(String server) {
+    return services.get(server);
+  }
+
+  NodeProcess node(String name) {
+    return nodes.get(name);
+  }
+
+  CuttableLink platformLink(String node) {
+    return platformLinks.get(node);
+  }
+
+  CuttableLink peerLink(String node) {
+    return peerLinks.get(node);
+  }
+
+  Invariants invariants() {
+    return invariants;
+  }
+
+  JsonNode status(String node) {
+    return operator(node, "/v1/status");
+  }
+
+  JsonNode operator(String node, String path) {
+    return get(nodes.get(node).operators() + path).json();
+  }
+
+  long revision(String node) {
+    return operator(node, "/v1/revision").path("revision").asLong();
+  }
+
+  String owner(String viaNode, String server) {
+    for (JsonNode row : status(viaNode).path("servers")) {
+      if (row.path("server").asText().equals(server)) {
+        return row.path("owner").asText();
+      }
+    }
+    return "";
+  }
+
+  Reply apply(String text) {
+    return apply(nodes.keySet().iterator().next(), text);
+  }
+
+  Reply apply(String node, String text) {
+    return post(nodes.get(node).operators() + "/v1/records", text.replace('\'', '"'), Map.of());
+  }
+
+  Reply chat(String node, String model, String prompt, Map<String, String> headers) {
+    return chat(node, model, prompt, 20, headers);
+  }
+
+  Reply chat(String node, String model, String prompt, int tokens, Map<String, String> headers) {
+    String body =
+        "{'model':'%s','max_tokens':%d,'messages':[{'role':'user','content':'%s'}]}"
+            .formatted(model, tokens, prompt)
+            .replace('\'', '"');
+    return post(nodes.get(node).callers() + "/v1/chat/completions", body, headers);
+  }
+
+  Reply pay(String node, String key, String body) {
+    return post(
+        nodes.get(node).callers() + "/v1/services/payments/pay",
+        body,
+        Map.of("Idempotency-Key", key));
+  }
+
+  Reply get(String url) {
+    return call(new Request.Builder().url(url).build());
+  }
+
+  Reply post(String url, String body, Map<String, String> headers) {
+    Request.Builder request = new Request.Builder().url(url).post(RequestBody.create(body, JSON));
+    headers.forEach(request::header);
+    return call(request.build());
+  }
+
+  private Reply call(Request request) {
+    long startedNanos = System.nanoTime();
+    try (Response response = client.newCall(request).execute()) {
+      String body = response.body().string();
+      return new Reply(
+          response.code(), body, response.header("Retry-After", ""), tookMillis(startedNanos));
+    } catch (IOException e) {
+      return new Reply(0, "{}", "", tookMillis(startedNanos));
+    }
+  }
+
+  private static long tookMillis(long startedNanos) {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos);
+  }
+
+  /** Returns the whole answer that an engine gives to a chat prompt. */
+  static String expected(String prompt, int tokens) {
+    StringBuilder text = new StringBuilder();
+    for (int i = 0; i < tokens; i++) {
+      text.append(Integer.toHexString(prompt.hashCode())).append('-').append(i).append(' ');
+    }
+    return text.toString();
+  }
+
+  private static int[] freePorts(int count) throws IOException {
+    List<ServerSocket> open = new ArrayList<>();
+    int[] ports = new int[count];
+    for (int i = 0; i < count; i++) {
+      ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+      open.add(socket);
+      ports[i] = socket.getLocalPort();
+    }
+    for (ServerSocket socket : open) {
+      socket.close();
+    }
+    return ports;
+  }
+
+  @Override
+  public void close() {
+    invariants.stop();
+    for (NodeProcess node : nodes.values()) {
+      node.kill();
+    }
+    engines.values().forEach(EngineStandin::close);
+    services.values().forEach(ServiceStandin::close);
+    platform.close();
+    try {
+      for (CuttableLink link : platformLinks.values()) {
+        link.close();
+      }
+      for (CuttableLink link : peerLinks.values()) {
+        link.close();
+      }
+    } catch (IOException e) {
+      throw new AssertionError(e);
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/test/java/io/nutmegseam/standin/process/CuttableLink.java
@@ -0,0 +1,96 @@
+package io.nutmegseam.standin.process;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** Forwards TCP connections to one port, and can be cut. */
+final class CuttableLink implements AutoCloseable {
+  private static final int BUFFER_BYTES = 16 << 10;
+
+  private final ServerSocket listener;
+  private final int targetPort;
+  private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+  private volatile boolean cut;
+
+  CuttableLink(int targetPort) throws IOException {
+    this.targetPort = targetPort;
+    this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    start(this::accept);
+  }
+
+  int port() {
+    return listener.getLocalPort();
+  }
+
+  /** Breaks all connections and lets no new one through. */
+  void cut() {
+    cut = true;
+    open.forEach(CuttableLink::closeQuietly);
+    open.clear();
+  }
+
+  void heal() {
+    cut = false;
+  }
+
+  @Override
+  public void close() throws IOException {
+    cut();
+    listener.close();
+  }
+
+  private void accept() {
+    while (!listener.isClosed()) {
+      try {
+        Socket near = listener.accept();
+        if (cut) {
+          closeQuietly(near);
+          continue;
+        }
+        Socket far = new Socket(InetAddress.getLoopbackAddress(), targetPort);
+        open.add(near);
+        open.add(far);
+        start(() -> pump(near, far));
+        start(() -> pump(far, near));
+      } catch (IOException e) {
+        // The listener was closed or the target is not there.
+      }
+    }
+  }
+
+  private void pump(Socket from, Socket to) {
+    byte[] buffer = new byte[BUFFER_BYTES];
+    try (from;
+        to;
+        InputStream in = from.getInputStream();
+        OutputStream out = to.getOutputStream()) {
+      int read = in.read(buffer);
+      while (read >= 0) {
+        out.write(buffer, 0, read);
+        read = in.read(buffer);
+      }
+    } catch (IOException e) {
+      // Either side has closed the connection.
+    }
+  }
+
+  private static void closeQuietly(Socket socket) {
+    try {
+      socket.close();
+    } catch (IOException e) {
+      // It is closed in any case.
+    }
+  }
+
+  private static void start(Runnable task) {
+    Thread thread = new Thread(task, "link");
+    thread.setDaemon(true);
+    thread.start();
+  }
+}
--- /dev/null
+++ b/standin/src/test/java/io/nutmegseam/standin/process/Invariants.java
@@ -0,0 +1,81 @@
+package io.nutmegseam.standin.process;
+
+import io.nutmegseam.core.backend.Inventory;
+import io.nutmegseam.standin.engine.EngineStandin;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** Watches the engines for more replicas than decided and for overcommitted memory. */
+final class Invariants {
+  private static final long SAMPLE_MILLIS = 5;
+
+  private final Map<String, EngineStandin> engines;
+  private final Map<String, Integer> decided = new HashMap<>();
+  private final List<String> violations = new ArrayList<>();
+  private volatile boolean running = true;
+
+  Invariants(Map<String, EngineStandin> engines) {
+    this.engines = engines;
+  }
+
+  void decide(String model, int replicas) {
+    decided.put(model, replicas);
+  }
+
+  int models() {
+    return decided.size();
+  }
+
+  void start() {
+    Thread sampler = new Thread(this::run, "invariants");
+    sampler.setDaemon(true);
+    sampler.start();
+  }
+
+  void stop() {
+    running = false;
+  }
+
+  /** Returns what was violated so far. */
+  synchronized List<String> violations() {
+    List<String> all = new ArrayList<>(violations);
+    engines
+        .values()
+        .forEach(
+            engine -> {
+              if (engine.stats().overcommits() > 0) {
+                all.add("overcommitted memory: " + engine.stats());
+              }
+            });
+    return all;
+  }
+
+  private void run() {
+    while (running) {
+      sample();
+      try {
+        TimeUnit.MILLISECONDS.sleep(SAMPLE_MILLIS);
+      } catch (InterruptedException e) {
+        return;
+      }
+    }
+  }
+
+  private synchronized void sample() {
+    Map<String, Integer> replicas = new HashMap<>();
+    for (EngineStandin engine : engines.values()) {
+      for (Inventory.Item item : engine.inventory().items()) {
+        replicas.merge(item.unit(), 1, Integer::sum);
+      }
+    }
+    replicas.forEach(
+        (unit, count) -> {
+          if (count > decided.getOrDefault(unit, Integer.MAX_VALUE)) {
+            violations.add(unit + " has " + count + " replicas");
+          }
+        });
+  }
+}
--- /dev/null
+++ b/standin/src/test/java/io/nutmegseam/standin/process/NodeProcess.java
@@ -0,0 +1,121 @@
+package io.nutmegseam.standin.process;
+
+import java.io.File;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** One node in its own process. */
+final class NodeProcess {
+  private static final String JAR = "node/target/nutmegseam-0.1.0-all.jar";
+  private static final long EXIT_SECONDS = 60;
+
+  private final String name;
+  private final Path settings;
+  private final Path log;
+  private final int callerPort;
+  private final int operatorPort;
+  private final int peerPort;
+  private Process process;
+
+  NodeProcess(
+      String name, Path settings, Path log, int callerPort, int operatorPort, int peerPort) {
+    this.name = name;
+    this.settings = settings;
+    this.log = log;
+    this.callerPort = callerPort;
+    this.operatorPort = operatorPort;
+    this.peerPort = peerPort;
+  }
+
+  String name() {
+    return name;
+  }
+
+  int peerPort() {
+    return peerPort;
+  }
+
+  String callers() {
+    return "http://127.0.0.1:" + callerPort;
+  }
+
+  String operators() {
+    return "http://127.0.0.1:" + operatorPort;
+  }
+
+  void start() {
+    File jar = new File(System.getProperty("repository.root"), JAR);
+    List<String> command = new ArrayList<>(List.of(ProcessHandle.current().info().command().get()));
+    command.addAll(List.of("-Xmx128m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
+    command.addAll(List.of("-jar", jar.getPath(), "node", "--settings", settings.toString()));
+    try {
+      process =
+          new ProcessBuilder(command)
+              .redirectErrorStream(true)
+              .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
+              .start();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Ends the process without a chance to clean up. */
+  void kill() {
+    process.destroyForcibly();
+    awaitExit();
+  }
+
+  /** Asks the process to stop. */
+  void terminate() {
+    process.destroy();
+  }
+
+  int awaitExit() {
+    try {
+      if (!process.waitFor(EXIT_SECONDS, TimeUnit.SECONDS)) {
+        throw new AssertionError(name + " does not end");
+      }
+      return process.exitValue();
+    } catch (InterruptedException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  void freeze() {
+    signal("-STOP");
+  }
+
+  void thaw() {
+    signal("-CONT");
+  }
+
+  String log() {
+    try {
+      return Files.readString(log);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Returns the number of logged events of a name about a subject. */
+  long events(String eventName, String subject) {
+    return log()
+        .lines()
+        .filter(line -> line.contains("\"name\":\"" + eventName + "\""))
+        .filter(line -> line.contains(subject))
+        .count();
+  }
+
+  private void signal(String signal) {
+    try {
+      new ProcessBuilder("kill", signal, Long.toString(process.pid())).start().waitFor();
+    } catch (IOException | InterruptedException e) {
+      throw new AssertionError(e);
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/test/java/io/nutmegseam/standin/process/OwnershipProcessTest.java
@@ -0,0 +1,185 @@
+package io.nutmegseam.standin.process;
+
+import static io.nutmegseam.standin.process.Cluster.awaitThat;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.nutmegseam.standin.fault.FaultMode;
+import io.nutmegseam.standin.fault.FaultRule;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Replicas and memory while owners pause, die and lose answers. */
+class OwnershipProcessTest {
+  private static final Map<String, String> NONE = Map.of();
+
+  private static Cluster twoNodes(boolean fencing) {
+    return new Cluster()
+        .dataCentre("dc")
+        .engine("e1", "dc", 10, fencing)
+        .model("m1", 6, 1)
+        .model("m2", 6, 1)
+        .node("n1", "dc")
+        .node("n2", "dc")
+        .start();
+  }
+
+  private static String other(String node) {
+    return node.equals("n1") ? "n2" : "n1";
+  }
+
+  @Nested
+  class FrozenOwner {
+    @Test
+    void should_be_replaced_at_a_server_with_fencing_and_do_no_harm_when_it_wakes() {
+      try (Cluster cluster = twoNodes(true)) {
+        // GIVEN
+        String owner = cluster.owner("n1", "e1");
+        String heir = other(owner);
+        assertThat(cluster.chat(heir, "m1", "before", NONE).status()).isEqualTo(200);
+        cluster.node(owner).freeze();
+        // WHEN
+        awaitThat(() -> cluster.owner(heir, "e1").equals(heir));
+        Reply during = cluster.chat(heir, "m2", "during", NONE);
+        cluster.node(owner).thaw();
+        Reply after = cluster.chat(owner, "m1", "after", NONE);
+        // THEN
+        assertThat(during.status()).isEqualTo(200);
+        assertThat(after.status()).isEqualTo(200);
+        assertThat(cluster.invariants().violations()).isEmpty();
+      }
+    }
+
+    @Test
+    void should_keep_a_server_without_fencing_which_goes_on_serving() throws Exception {
+      try (Cluster cluster = twoNodes(false)) {
+        // GIVEN
+        String owner = cluster.owner("n1", "e1");
+        String heir = other(owner);
+        assertThat(cluster.chat(heir, "m1", "before", NONE).status()).isEqualTo(200);
+        // WHEN
+        cluster.node(owner).freeze();
+        TimeUnit.MILLISECONDS.sleep(4_000);
+        String during = cluster.owner(heir, "e1");
+        Reply served = cluster.chat(heir, "m1", "during", NONE);
+        cluster.node(owner).thaw();
+        Reply woken = cluster.chat(heir, "m2", "after", NONE);
+        // THEN
+        assertThat(during).isEqualTo(owner);
+        assertThat(served.content()).isEqualTo(Cluster.expected("[during]", 20));
+        assertThat(woken.status()).isEqualTo(200);
+        assertThat(cluster.invariants().violations()).isEmpty();
+      }
+    }
+  }
+
+  @Nested
+  class KilledOwner {
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void should_be_followed_by_a_new_process_on_its_own_address(boolean fencing) {
+      try (Cluster cluster = twoNodes(fencing)) {
+        // GIVEN
+        String owner = cluster.owner("n1", "e1");
+        cluster
+            .engine("e1")
+            .faults()
+            .set(List.of(new FaultRule("load", FaultMode.LATE, 1, 500, "")));
+        Thread caller = new Thread(() -> cluster.chat(other(owner), "m1", "x", NONE), "caller");
+        caller.start();
+        awaitThat(() -> !cluster.engine("e1").inventory().items().isEmpty());
+        // WHEN
+        cluster.node(owner).kill();
+        cluster.node(owner).start();
+        cluster.awaitReady(owner);
+        awaitThat(() -> cluster.chat(owner, "m2", "y", NONE).status() == 200);
+        // THEN
+        assertThat(cluster.invariants().violations()).isEmpty();
+      }
+    }
+  }
+
+  @Nested
+  class AmbiguousOrders {
+    @ParameterizedTest
+    @EnumSource(
+        value = FaultMode.class,
+        names = {"LOSE_ANSWER", "DROP", "REFUSE", "CUT", "LATE"})
+    void should_settle_by_the_inventory(FaultMode mode) {
+      try (Cluster cluster = twoNodes(true)) {
+        // GIVEN
+        cluster
+            .engine("e1")
+            .faults()
+            .set(
+                List.of(
+                    new FaultRule("load", mode, 2, 1_000, ""),
+                    new FaultRule("unload", mode, 2, 1_000, "")));
+        // WHEN
+        Reply first = cluster.chat("n1", "m1", "one", NONE);
+        Reply second = cluster.chat("n2", "m2", "two", NONE);
+        Reply third = cluster.chat("n1", "m1", "three", NONE);
+        // THEN
+        assertThat(List.of(first.status(), second.status(), third.status())).containsOnly(200);
+        assertThat(cluster.invariants().violations()).isEmpty();
+      }
+    }
+
+    @Test
+    void should_survive_an_engine_that_restarts_in_the_middle_of_a_load() {
+      try (Cluster cluster = twoNodes(true)) {
+        // GIVEN
+        Thread crash =
+            new Thread(
+                () -> {
+                  awaitThat(() -> !cluster.engine("e1").inventory().items().isEmpty());
+                  cluster.engine("e1").crash();
+                });
+        crash.start();
+        // WHEN
+        Reply reply = cluster.chat("n1", "m1", "one", NONE);
+        // THEN
+        assertThat(reply.status()).isEqualTo(200);
+        assertThat(cluster.invariants().violations()).isEmpty();
+      }
+    }
+  }
+
+  @Nested
+  class Moves {
+    @Test
+    void should_survive_the_planner_killed_between_the_two_steps() {
+      try (Cluster cluster =
+          new Cluster()
+              .dataCentre("dc")
+              .engine("e1", "dc", 10, true)
+              .engine("e2", "dc", 10, true)
+              .model("m1", 6, 1)
+              .node("n1", "dc")
+              .node("n2", "dc")
+              .start()) {
+        // GIVEN
+        assertThat(cluster.chat("n2", "m1", "before", NONE).status()).isEqualTo(200);
+        String from = cluster.operator("n2", "/v1/placements").get(0).path("server").asText();
+        // WHEN
+        cluster.post(cluster.node("n2").operators() + "/v1/drain/" + from, "", NONE);
+        awaitThat(() -> cluster.node("n1").events("PLACEMENT_DRAINING", "m1") > 0);
+        cluster.node("n1").kill();
+        awaitThat(
+            () -> {
+              var slot = cluster.operator("n2", "/v1/placements").get(0);
+              return slot.path("state").asText().equals("PLACED")
+                  && !slot.path("server").asText().equals(from);
+            });
+        // THEN
+        awaitThat(() -> cluster.chat("n2", "m1", "after", NONE).status() == 200);
+        assertThat(cluster.invariants().violations()).isEmpty();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/test/java/io/nutmegseam/standin/process/package-info.java
@@ -0,0 +1,2 @@
+/** Tests with nodes in separate processes, and their harness. */
+package io.nutmegseam.standin.process;
