A silent node coordinates nothing; orders resume after the rows are confirmed

Cause: the weight-store budget asked a frozen coordinator until its connection timed out (15 s); a thawed owner waited for a change of rows that never came.

--- a/node/src/main/java/io/nutmegseam/node/control/ControlRowsReader.java
+++ b/node/src/main/java/io/nutmegseam/node/control/ControlRowsReader.java
@@ -18,6 +18,7 @@
 
   private final NodeContext context;
   private final Runnable onRead;
+  private final Runnable onConfirmed;
   private final Map<String, OwnerRow> ownerRows = new HashMap<>();
   private Placements placements = Placements.empty();
   private long seenVersion;
@@ -27,9 +28,17 @@
   /** The row of a server's owner and its version. */
   record OwnerRow(ServerRow row, long version) {}
 
-  ControlRowsReader(NodeContext context, Runnable onRead) {
+  /**
+   * Creates the reader.
+   *
+   * @param context what it works with
+   * @param onRead runs after a change of the rows
+   * @param onConfirmed runs after every poll: the rows are known, or known to be out of reach
+   */
+  ControlRowsReader(NodeContext context, Runnable onRead, Runnable onConfirmed) {
     this.context = context;
     this.onRead = onRead;
+    this.onConfirmed = onConfirmed;
   }
 
   void poll() {
@@ -78,7 +87,7 @@
     polling = false;
     if (error != null) {
       context.health().failed(String.valueOf(error.getMessage()));
-      onRead.run();
+      onConfirmed.run();
       return;
     }
     context.health().answered();
@@ -93,6 +102,7 @@
     if (changed) {
       onRead.run();
     }
+    onConfirmed.run();
   }
 
   private void take(Row row, List<Placements.Placed> placed) {
--- a/node/src/main/java/io/nutmegseam/node/control/NodeControl.java
+++ b/node/src/main/java/io/nutmegseam/node/control/NodeControl.java
@@ -12,7 +12,9 @@
 import io.nutmegseam.node.peer.generated.PeerFrame;
 import io.nutmegseam.node.settings.HostPort;
 import io.nutmegseam.node.settings.NodeSettings.Timing;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
@@ -28,6 +30,8 @@
   /** Loads and heartbeats go to other data centres once in this many rounds. */
   private static final int FAR_INTERVAL = 5;
 
+  private static final int MISSED_HEARTBEATS = 3;
+
   private final NodeContext context;
   private final Outbox outbox;
   private final Consumer<HostPort> connector;
@@ -42,6 +46,7 @@
   private final DemandControl demand;
   private final ServerStates states;
   private final StrikeControl strikes;
+  private final Map<String, Long> heardAtMillis = new HashMap<>();
   private boolean dirty = true;
   private boolean ordersSuspended;
   private long lastTickMillis;
@@ -89,7 +94,7 @@
     this.config = new ConfigControl(context, this::onConfig);
     this.membership =
         new MembershipControl(context, parts.vmList(), () -> config.catalog().revision());
-    this.rows = new ControlRowsReader(context, this::onRows);
+    this.rows = new ControlRowsReader(context, this::onRows, () -> ordersSuspended = false);
     this.states = new ServerStates(outbox, parts.loads(), this::isNear);
     this.ownership =
         new OwnershipControl(
@@ -164,6 +169,7 @@
 
   /** Takes in a frame of a peer; call on the control thread. */
   public void onFrame(String node, PeerFrame frame) {
+    heardAtMillis.put(node, context.nowMillis());
     switch (frame.getBodyCase()) {
       case HEARTBEAT -> onHeartbeat(node, frame.getHeartbeat());
       case SERVER_STATES -> dirty |= states.onPeerStates(frame.getServerStates());
@@ -193,7 +199,12 @@
 
   @Override
   public Set<String> nodes() {
-    Set<String> nodes = new TreeSet<>(outbox.connected());
+    Set<String> nodes = new TreeSet<>();
+    for (String node : outbox.connected()) {
+      if (!isSilent(node)) {
+        nodes.add(node);
+      }
+    }
     nodes.add(context.node());
     return nodes;
   }
@@ -221,7 +232,6 @@
   }
 
   private void onRows() {
-    ordersSuspended = false;
     ownership.onRows();
     dirty = true;
   }
@@ -356,6 +366,14 @@
     }
   }
 
+  /** A node is silent if several of its heartbeats are missing; it may be paused or cut off. */
+  private boolean isSilent(String node) {
+    long intervalMillis =
+        context.settings().timing().heartbeatMillis() * (isNear(node) ? 1 : FAR_INTERVAL);
+    long silentMillis = context.nowMillis() - heardAtMillis.getOrDefault(node, 0L);
+    return silentMillis > intervalMillis * MISSED_HEARTBEATS;
+  }
+
   private boolean isNear(String node) {
     return membership
         .observer()
--- a/node/src/main/java/io/nutmegseam/node/control/UseTracker.java
+++ b/node/src/main/java/io/nutmegseam/node/control/UseTracker.java
@@ -11,6 +11,9 @@
   /** The smoothed rate forgets half in this time. */
   private static final double RATE_HALF_LIFE_MILLIS = 60_000;
 
+  /** Rate taken for a unit that was just loaded; its silence soon bounds the expected rate. */
+  private static final double FIRST_RATE_PER_SECOND = 1;
+
   private static final double MILLIS_PER_SECOND = 1_000;
 
   private final Map<String, Track> tracks = new HashMap<>();
@@ -63,7 +66,7 @@
   }
 
   private static Track newTrack(LoadReport report, String unit, long nowMillis) {
-    Track track = new Track(nowMillis, MILLIS_PER_SECOND / RATE_HALF_LIFE_MILLIS);
+    Track track = new Track(nowMillis, FIRST_RATE_PER_SECOND);
     track.started = report.startedByUnit().getOrDefault(unit, 0L);
     return track;
   }
--- a/standin/src/test/java/io/nutmegseam/standin/process/Cluster.java
+++ b/standin/src/test/java/io/nutmegseam/standin/process/Cluster.java
@@ -152,29 +152,31 @@
     nodes.values().forEach(NodeProcess::start);
     nodes.keySet().forEach(this::awaitReady);
     apply("[" + String.join(",", records) + "]");
-    String first = nodes.keySet().iterator().next();
+    nodes.keySet().forEach(this::awaitSettled);
+    invariants.start();
+    return this;
+  }
+
+  /** Waits until a node sees every engine, every placement and every other node. */
+  private void awaitSettled(String node) {
     awaitThat(
         () -> {
-          JsonNode servers = status(first).path("servers");
-          long owned = 0;
-          for (JsonNode server : servers) {
-            boolean reached = server.path("reachable").asBoolean();
-            owned += reached && engines.containsKey(server.path("server").asText()) ? 1 : 0;
+          long reached = 0;
+          for (JsonNode server : status(node).path("servers")) {
+            boolean engine = engines.containsKey(server.path("server").asText());
+            reached += engine && server.path("reachable").asBoolean() ? 1 : 0;
           }
-          return owned == engines.size();
+          return reached == engines.size();
         });
-    awaitThat(() -> operator(first, "/v1/placements").size() >= invariants.models());
+    awaitThat(() -> operator(node, "/v1/placements").size() >= invariants.models());
     awaitThat(
         () -> {
-          for (JsonNode node : status(first).path("nodes")) {
-            if (!node.path("connected").asBoolean()) {
-              return false;
-            }
+          long connected = 0;
+          for (JsonNode other : status(node).path("nodes")) {
+            connected += other.path("connected").asBoolean() ? 1 : 0;
           }
-          return status(first).path("nodes").size() == nodes.size();
+          return connected == nodes.size();
         });
-    invariants.start();
-    return this;
   }
 
   void awaitReady(String node) {
