--- a/node/src/main/java/io/nutmegseam/node/control/NodeControl.java
+++ b/node/src/main/java/io/nutmegseam/node/control/NodeControl.java
@@ -94,7 +94,7 @@
     this.config = new ConfigControl(context, this::onConfig);
     this.membership =
         new MembershipControl(context, parts.vmList(), () -> config.catalog().revision());
-    this.rows = new ControlRowsReader(context, this::onRows, () -> ordersSuspended = false);
+    this.rows = new ControlRowsReader(context, this::onRows, this::onRowsConfirmed);
     this.states = new ServerStates(outbox, parts.loads(), this::isNear);
     this.ownership =
         new OwnershipControl(
@@ -227,15 +227,20 @@
 
   private void onConfig() {
     ownership.onCatalog(config.catalog());
+    ownership.onRows();
     states.retain(config.catalog().backendServers());
     dirty = true;
   }
 
   private void onRows() {
-    ownership.onRows();
     dirty = true;
   }
 
+  private void onRowsConfirmed() {
+    ordersSuspended = false;
+    ownership.onRows();
+  }
+
   private void onServerChange(OwnedServer server, long epoch) {
     states.onOwnChange(server, epoch);
     dirty = true;
--- /dev/null
+++ b/standin/src/test/java/io/nutmegseam/standin/process/AnswerProcessTest.java
@@ -0,0 +1,290 @@
+package io.nutmegseam.standin.process;
+
+import static io.nutmegseam.standin.process.Cluster.awaitThat;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.nutmegseam.standin.fault.FaultMode;
+import io.nutmegseam.standin.fault.FaultRule;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Whole answers, refusals in time, shutdown, and requests that crash servers. */
+class AnswerProcessTest {
+  private static final Map<String, String> NONE = Map.of();
+
+  private static Cluster cluster(int engines, int replicas) {
+    Cluster cluster = new Cluster().dataCentre("dc").model("m1", 4, replicas);
+    for (int i = 1; i <= engines; i++) {
+      cluster.engine("e" + i, "dc", 10, true);
+    }
+    return cluster.node("n1", "dc").node("n2", "dc").start();
+  }
+
+  @Nested
+  class WholeAnswers {
+    @ParameterizedTest
+    @EnumSource(
+        value = FaultMode.class,
+        names = {"CROSS", "DUPLICATE", "CUT", "DROP", "REFUSE", "SLOW"})
+    void should_reach_their_own_callers(FaultMode mode) {
+      try (Cluster cluster = cluster(2, 2)) {
+        // GIVEN
+        cluster.chat("n1", "m1", "warm", NONE);
+        FaultRule rule = new FaultRule("completion", mode, 2, 500, "");
+        cluster.engine("e1").faults().set(List.of(rule));
+        cluster.engine("e2").faults().set(List.of(rule));
+        // WHEN
+        List<Reply> replies = together(cluster, 6);
+        // THEN
+        for (int i = 0; i < replies.size(); i++) {
+          Reply reply = replies.get(i);
+          boolean whole = reply.content().equals(Cluster.expected("prompt-" + i, 20));
+          boolean honest = reply.status() >= 500 && !reply.kind().isEmpty();
+          assertThat(whole || honest).as("%s", reply).isTrue();
+        }
+        assertThat(replies).filteredOn(r -> r.status() == 200).isNotEmpty();
+        assertThat(cluster.invariants().violations()).isEmpty();
+      }
+    }
+
+    private List<Reply> together(Cluster cluster, int count) {
+      ExecutorService callers = Executors.newCachedThreadPool();
+      List<CompletableFuture<Reply>> futures = new ArrayList<>();
+      for (int i = 0; i < count; i++) {
+        String prompt = "prompt-" + i;
+        String node = i % 2 == 0 ? "n1" : "n2";
+        futures.add(
+            CompletableFuture.supplyAsync(() -> cluster.chat(node, "m1", prompt, NONE), callers));
+      }
+      List<Reply> replies = futures.stream().map(CompletableFuture::join).toList();
+      callers.shutdown();
+      return replies;
+    }
+  }
+
+  @Nested
+  class Callers {
+    @Test
+    void should_have_their_work_cancelled_if_they_leave_in_the_middle() throws IOException {
+      try (Cluster cluster = cluster(1, 1)) {
+        // GIVEN
+        cluster.chat("n1", "m1", "warm", NONE);
+        String body =
+            "{\"model\":\"m1\",\"max_tokens\":3000,\"stream\":true,\"messages\":"
+                + "[{\"role\":\"user\",\"content\":\"long\"}]}";
+        Request request =
+            new Request.Builder()
+                .url(cluster.node("n1").callers() + "/v1/chat/completions")
+                .post(RequestBody.create(body, MediaType.get("application/json")))
+                .build();
+        // WHEN
+        try (Response response = new OkHttpClient().newCall(request).execute()) {
+          response.body().source().readUtf8Line();
+        }
+        // THEN
+        awaitThat(() -> cluster.node("n1").events("REQUEST_CANCELLED", "") > 0);
+        awaitThat(() -> cluster.status("n1").path("inFlight").asInt() == 0);
+      }
+    }
+  }
+
+  @Nested
+  class Refusals {
+    @Test
+    void should_come_at_once_if_the_deadline_is_shorter_than_the_load() {
+      try (Cluster cluster = cluster(1, 1)) {
+        // WHEN
+        Reply reply = cluster.chat("n1", "m1", "x", Map.of("X-Deadline-Millis", "300"));
+        // THEN
+        assertThat(reply.kind()).isEqualTo("deadline-infeasible");
+        assertThat(reply.ran()).isEqualTo("no");
+        assertThat(Integer.parseInt(reply.retryAfter())).isPositive();
+        assertThat(cluster.engine("e1").stats().loads()).isZero();
+      }
+    }
+
+    @Test
+    void should_come_before_the_deadline_if_the_weight_store_is_slow() {
+      try (Cluster cluster = cluster(1, 1)) {
+        // GIVEN
+        cluster.platform().weights().setSlowdown(100);
+        // WHEN
+        Reply reply = cluster.chat("n1", "m1", "x", Map.of("X-Deadline-Millis", "3000"));
+        // THEN
+        assertThat(reply.kind()).isEqualTo("expired-in-queue");
+        assertThat(reply.ran()).isEqualTo("no");
+        assertThat(reply.retryAfter()).isNotEmpty();
+      }
+    }
+
+    @Test
+    void should_come_if_every_server_of_the_model_is_gone() {
+      try (Cluster cluster = cluster(1, 1)) {
+        // GIVEN
+        cluster.chat("n1", "m1", "warm", NONE);
+        cluster.engine("e1").close();
+        // WHEN
+        awaitThat(() -> !cluster.status("n1").path("servers").get(0).path("reachable").asBoolean());
+        Reply reply = cluster.chat("n1", "m1", "x", NONE);
+        // THEN
+        assertThat(reply.kind()).isEqualTo("no-backend-server");
+        assertThat(reply.retryAfter()).isNotEmpty();
+      }
+    }
+  }
+
+  @Nested
+  class PlatformOutage {
+    @Test
+    void should_not_stop_warm_requests_or_cold_starts() {
+      try (Cluster cluster = cluster(1, 1)) {
+        // GIVEN
+        cluster.platformLink("n1").cut();
+        cluster.platformLink("n2").cut();
+        awaitThat(() -> !cluster.status("n1").path("platformAvailable").asBoolean());
+        // WHEN
+        Reply cold = cluster.chat("n2", "m1", "cold", NONE);
+        Reply warm = cluster.chat("n1", "m1", "warm", NONE);
+        // THEN
+        assertThat(cold.content()).isEqualTo(Cluster.expected("cold", 20));
+        assertThat(warm.content()).isEqualTo(Cluster.expected("warm", 20));
+        assertThat(cluster.invariants().violations()).isEmpty();
+      }
+    }
+  }
+
+  @Nested
+  class GracefulShutdown {
+    @Test
+    void should_cut_no_request_in_flight_and_end_with_status_zero() {
+      try (Cluster cluster = cluster(2, 2)) {
+        // GIVEN
+        cluster.chat("n1", "m1", "warm", NONE);
+        ExecutorService callers = Executors.newCachedThreadPool();
+        List<CompletableFuture<Reply>> futures = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+          String prompt = "p" + i;
+          futures.add(
+              CompletableFuture.supplyAsync(
+                  () -> cluster.chat("n1", "m1", prompt, 200, NONE), callers));
+        }
+        awaitThat(() -> cluster.status("n1").path("inFlight").asInt() == 8);
+        // WHEN
+        cluster.node("n1").terminate();
+        int status = cluster.node("n1").awaitExit();
+        // THEN
+        for (int i = 0; i < 8; i++) {
+          assertThat(futures.get(i).join().content()).isEqualTo(Cluster.expected("p" + i, 200));
+        }
+        assertThat(status).isZero();
+        callers.shutdown();
+      }
+    }
+  }
+
+  @Nested
+  class CrashingRequests {
+    @Test
+    void should_stop_after_a_bounded_number_of_servers() {
+      try (Cluster cluster = cluster(4, 4)) {
+        // GIVEN
+        for (int i = 1; i <= 4; i++) {
+          cluster
+              .engine("e" + i)
+              .faults()
+              .set(List.of(new FaultRule("completion", FaultMode.CRASH, -1, 100, "poison")));
+        }
+        // WHEN
+        List<String> kinds = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+          kinds.add(cluster.chat(i % 2 == 0 ? "n1" : "n2", "m1", "poison", NONE).kind());
+        }
+        Reply neighbour = cluster.chat("n2", "m1", "innocent", NONE);
+        // THEN
+        long crashes =
+            cluster.node("n1").events("CRASH_STRIKE", "")
+                + cluster.node("n2").events("CRASH_STRIKE", "");
+        assertThat(crashes).isLessThanOrEqualTo(2);
+        assertThat(kinds).endsWith("repeated-crash", "repeated-crash");
+        assertThat(neighbour.content()).isEqualTo(Cluster.expected("innocent", 20));
+      }
+    }
+  }
+
+  @Nested
+  class LeavingServers {
+    @Test
+    void should_get_no_new_work_after_the_vm_list_says_so() {
+      leave(
+          (cluster, server) -> {
+            String vms =
+                "{\"vm-e1\":\"%s\",\"vm-e2\":\"%s\"}"
+                    .formatted(
+                        server.equals("e1") ? "leaving" : "live",
+                        server.equals("e2") ? "leaving" : "live");
+            cluster.post(cluster.platform().address() + "/vms", vms, NONE);
+          });
+    }
+
+    @Test
+    void should_get_no_new_work_after_the_engine_says_so() {
+      leave((cluster, server) -> cluster.engine(server).setLeaving(true));
+    }
+
+    @Test
+    void should_get_no_new_work_after_the_operator_says_so() {
+      leave(
+          (cluster, server) ->
+              cluster.post(cluster.node("n1").operators() + "/v1/drain/" + server, "", NONE));
+    }
+
+    /** Gives notice that a server leaves. */
+    private interface Notice {
+      void give(Cluster cluster, String server);
+    }
+
+    private void leave(Notice notice) {
+      try (Cluster cluster = cluster(2, 1)) {
+        // GIVEN
+        cluster.chat("n1", "m1", "warm", NONE);
+        String server = cluster.operator("n1", "/v1/placements").get(0).path("server").asText();
+        // WHEN
+        notice.give(cluster, server);
+        awaitThat(() -> isLeaving(cluster, "n1", server) && isLeaving(cluster, "n2", server));
+        cluster
+            .engine(server)
+            .faults()
+            .set(List.of(new FaultRule("completion", FaultMode.CRASH, -1, 0, "")));
+        awaitThat(() -> cluster.chat("n1", "m1", "x", NONE).status() == 200);
+        Reply other = cluster.chat("n2", "m1", "y", NONE);
+        // THEN
+        assertThat(other.status()).isEqualTo(200);
+        assertThat(cluster.node("n1").events("CRASH_STRIKE", "")).isZero();
+        assertThat(cluster.invariants().violations()).isEmpty();
+      }
+    }
+
+    private boolean isLeaving(Cluster cluster, String node, String server) {
+      for (var row : cluster.status(node).path("servers")) {
+        if (row.path("server").asText().equals(server)) {
+          return row.path("leaving").asBoolean();
+        }
+      }
+      return false;
+    }
+  }
+}
