--- a/node/src/main/java/io/nutmegseam/node/caller/AcceptFilter.java
+++ b/node/src/main/java/io/nutmegseam/node/caller/AcceptFilter.java
@@ -16,6 +16,7 @@
   private final BooleanSupplier ready;
   private final EventSink events;
   private final AtomicInteger inFlight = new AtomicInteger();
+  private final AtomicInteger unsent = new AtomicInteger();
   private volatile boolean stopping;
 
   /**
@@ -64,6 +65,21 @@
     }
   }
 
+  /** Notes that a request has come whose answer is not wholly sent. */
+  public void onBegin() {
+    unsent.incrementAndGet();
+  }
+
+  /** Notes that the last byte of an answer was handed to the network, or its caller has left. */
+  public void onSent() {
+    unsent.decrementAndGet();
+  }
+
+  /** Returns the number of requests whose answer is not wholly sent. */
+  public int unsent() {
+    return unsent.get();
+  }
+
   /** Refuses new requests from now on. */
   public void stop() {
     stopping = true;
--- a/node/src/main/java/io/nutmegseam/node/caller/CallerApi.java
+++ b/node/src/main/java/io/nutmegseam/node/caller/CallerApi.java
@@ -56,6 +56,8 @@
   }
 
   private Context serve(Context context) {
+    accept.onBegin();
+    context.onComplete(done -> accept.onSent());
     JoobySink sink = new JoobySink(context);
     String id = newId();
     accept.accept(
--- a/node/src/main/java/io/nutmegseam/node/caller/Refusals.java
+++ b/node/src/main/java/io/nutmegseam/node/caller/Refusals.java
@@ -62,8 +62,8 @@
    * Returns the error of a request after all its attempts. An error that says "not run" is replaced
    * if an earlier attempt may have run.
    */
-  static ServeException afterAttempts(ServeException last, boolean mayHaveRun) {
-    boolean wouldBeWrong = mayHaveRun && last.kind().ran() == Ran.NO;
+  static ServeException afterAttempts(ServeException last, Tried tried) {
+    boolean wouldBeWrong = !tried.mayHaveRun().isEmpty() && last.kind().ran() == Ran.NO;
     return wouldBeWrong
         ? new ServeException(
             ErrorKind.BACKEND_LOST, "an attempt may have run, then: " + last.getMessage())
--- a/node/src/main/java/io/nutmegseam/node/caller/RouteFilter.java
+++ b/node/src/main/java/io/nutmegseam/node/caller/RouteFilter.java
@@ -13,9 +13,7 @@
 import io.nutmegseam.node.control.StrikeControl;
 import io.nutmegseam.node.control.TableHolder;
 import java.time.Clock;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 
 /**
  * Chooses a backend server for each attempt and decides about further attempts. A request that may
@@ -116,11 +114,10 @@
 
   private Answered attempts(Call call, AnswerSink sink, Dispatch dispatch, PolicyRecord policy)
       throws ServeException {
-    Set<String> tried = new HashSet<>();
-    boolean mayHaveRun = false;
+    Tried tried = Tried.none();
     int attempt = 0;
     while (true) {
-      BackendServerRecord target = choose(call, tried, mayHaveRun);
+      BackendServerRecord target = choose(call, tried);
       String incarnation = incarnation(target);
       loads.begin(target.name());
       try {
@@ -130,9 +127,8 @@
       } catch (AttemptException failure) {
         loads.outcome(target.name(), failure.reason().provedNotRun());
         noteCrash(call, target, incarnation, failure, policy);
-        tried.add(target.name());
-        mayHaveRun |= !failure.reason().provedNotRun();
-        checkRepeat(call, sink, failure, tried, mayHaveRun);
+        tried = tried.with(target.name(), failure.reason().provedNotRun());
+        checkRepeat(call, sink, failure, tried);
         attempt++;
         events.record(EventKind.REQUEST_RETRIED, call.id(), failure.getMessage());
       } finally {
@@ -141,35 +137,33 @@
     }
   }
 
-  private BackendServerRecord choose(Call call, Set<String> tried, boolean mayHaveRun)
-      throws ServeException {
+  private BackendServerRecord choose(Call call, Tried tried) throws ServeException {
     try {
       return chooser.choose(call, tried);
     } catch (ServeException e) {
-      throw Refusals.afterAttempts(e, mayHaveRun);
+      throw Refusals.afterAttempts(e, tried);
     }
   }
 
   /** Returns normally if a further attempt is allowed. */
-  private void checkRepeat(
-      Call call, AnswerSink sink, AttemptException failure, Set<String> tried, boolean mayHaveRun)
+  private void checkRepeat(Call call, AnswerSink sink, AttemptException failure, Tried tried)
       throws ServeException {
     boolean inTime = monotonic.millis() < call.deadlineMillis();
     boolean harmless = failure.reason().provedNotRun() || call.idempotent();
     boolean elsewhere = failure.reason().provedNotRun() || hasUntried(call, tried);
     boolean allowed = harmless && inTime && elsewhere && !sink.isStarted();
     if (!allowed || !retries.tryRetry()) {
-      throw Refusals.afterAttempts(Refusals.attemptFailed(failure, !inTime), mayHaveRun);
+      throw Refusals.afterAttempts(Refusals.attemptFailed(failure, !inTime), tried);
     }
   }
 
-  private boolean hasUntried(Call call, Set<String> tried) {
+  private boolean hasUntried(Call call, Tried tried) {
     RoutingTable table = tables.current();
     List<String> servers =
         call.isCompletion()
             ? PlacementRules.servers(call.name(), table.catalog(), table.placements())
             : table.serversOfService(call.name()).stream().map(BackendServerRecord::name).toList();
-    return !tried.containsAll(servers);
+    return !tried.mayHaveRun().containsAll(servers);
   }
 
   private void noteCrash(
--- a/node/src/main/java/io/nutmegseam/node/caller/TargetChooser.java
+++ b/node/src/main/java/io/nutmegseam/node/caller/TargetChooser.java
@@ -15,13 +15,16 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.random.RandomGenerator;
 
 /** Waits until a backend server can take a request, and chooses it. */
 public final class TargetChooser {
   private static final int CACHED_PREFIXES = 10_000;
   private static final Duration PREFIX_LIFE = Duration.ofMinutes(5);
+
+  /** Pause before a server that refused an attempt is asked again. */
+  private static final long REFUSED_PAUSE_MILLIS = 200;
+
   private static final double NEAR_MILLIS = 0.2;
   private static final double FAR_MILLIS = 1.0;
 
@@ -69,7 +72,7 @@
    * @return the server
    * @throws ServeException if waiting is of no use any more
    */
-  public BackendServerRecord choose(Call call, Set<String> tried) throws ServeException {
+  public BackendServerRecord choose(Call call, Tried tried) throws ServeException {
     RoutingTable table = tables.current();
     Optional<BackendServerRecord> now = chooseNow(call, tried, table);
     if (now.isPresent()) {
@@ -81,12 +84,13 @@
     return await(call, tried, table);
   }
 
-  private BackendServerRecord await(Call call, Set<String> tried, RoutingTable seen)
+  private BackendServerRecord await(Call call, Tried tried, RoutingTable seen)
       throws ServeException {
     long startedMillis = monotonic.millis();
     long giveUpMillis = call.deadlineMillis() - ServiceTime.millis(call, seen);
+    boolean loadedElsewhere = !seen.serversWith(call.name()).isEmpty();
     WaitBoard.Ticket ticket =
-        waits.add(call.attemptId(), call.name(), call.interactive(), giveUpMillis, false);
+        waits.add(call.attemptId(), call.name(), call.interactive(), giveUpMillis, loadedElsewhere);
     try {
       RoutingTable table = seen;
       while (true) {
@@ -94,11 +98,8 @@
         if (leftMillis <= 0) {
           throw Refusals.expiredInQueue(call, monotonic.millis() - startedMillis);
         }
-        RoutingTable next = tables.awaitChange(table, leftMillis);
-        // A server that has loaded the unit again may be tried again.
-        Set<String> excluded = next == table ? tried : Set.of();
-        table = next;
-        Optional<BackendServerRecord> found = chooseNow(call, excluded, table);
+        table = tables.awaitChange(table, Math.min(leftMillis, REFUSED_PAUSE_MILLIS));
+        Optional<BackendServerRecord> found = chooseNow(call, tried.withoutRefused(), table);
         if (found.isPresent()) {
           return found.get();
         }
@@ -111,13 +112,12 @@
     }
   }
 
-  private Optional<BackendServerRecord> chooseNow(
-      Call call, Set<String> tried, RoutingTable table) {
+  private Optional<BackendServerRecord> chooseNow(Call call, Tried tried, RoutingTable table) {
     List<BackendServerRecord> servers =
         call.isCompletion() ? table.serversWith(call.name()) : table.serversOfService(call.name());
     List<Candidate> candidates = new ArrayList<>();
     for (BackendServerRecord server : servers) {
-      if (!tried.contains(server.name())) {
+      if (!tried.excludes(server.name())) {
         candidates.add(candidate(server, call));
       }
     }
--- a/node/src/main/java/io/nutmegseam/node/control/NodeControl.java
+++ b/node/src/main/java/io/nutmegseam/node/control/NodeControl.java
@@ -48,6 +48,7 @@
   private final StrikeControl strikes;
   private final Map<String, Long> heardAtMillis = new HashMap<>();
   private boolean dirty = true;
+  private volatile boolean published;
   private boolean ordersSuspended;
   private long lastTickMillis;
   private int heartbeats;
@@ -118,7 +119,7 @@
     thread.every(timing.reportMillis(), this::pollServers);
     thread.every(timing.tickMillis(), this::tick);
     thread.every(PLAN_MILLIS, this::plan);
-    thread.every(REPEAT_MILLIS, () -> states.repeatAll(ownership.owned()));
+    thread.every(REPEAT_MILLIS, () -> ownership.owned().forEach(OwnedServer::announce));
   }
 
   /**
@@ -127,7 +128,7 @@
    */
   public boolean isReady() {
     boolean joined = membership.hasJoined() || !context.health().isAvailable();
-    return config.isLoaded() && joined && !membership.isSuperseded();
+    return published && joined && !membership.isSuperseded();
   }
 
   /** Returns whether another process runs under this node's name. */
@@ -251,6 +252,7 @@
     if (nowMillis - lastTickMillis > context.settings().timing().leaseMillis() / 2) {
       ordersSuspended = true;
       rows.poll();
+      ownership.owned().forEach(OwnedServer::announce);
     }
     lastTickMillis = nowMillis;
     connectPeers();
@@ -268,6 +270,7 @@
       dirty = false;
       tables.publish(
           new RoutingTable(config.catalog(), rows.placements(), states.views(), leaving));
+      published = config.isLoaded();
     }
   }
 
--- a/node/src/main/java/io/nutmegseam/node/control/OwnedServer.java
+++ b/node/src/main/java/io/nutmegseam/node/control/OwnedServer.java
@@ -40,7 +40,6 @@
     this.engine = engine;
     this.onChange = onChange;
     this.ledger = MemoryLedger.of(server.memoryBytes());
-    this.sequence = context.wall().millis();
   }
 
   /** What one poll of the engine found. */
@@ -249,8 +248,14 @@
     changed();
   }
 
+  /** Tells the peers again what is known, ahead of what a stand-by observer told them. */
+  void announce() {
+    changed();
+  }
+
+  /** Sequences follow the wall clock, so that the later of two observers of one epoch wins. */
   private void changed() {
-    sequence++;
+    sequence = Math.max(sequence + 1, context.wall().millis());
     onChange.run();
   }
 }
--- a/node/src/main/java/io/nutmegseam/node/control/ServerStates.java
+++ b/node/src/main/java/io/nutmegseam/node/control/ServerStates.java
@@ -85,12 +85,6 @@
     }
   }
 
-  /** Tells every state of the owned servers to every peer. */
-  void repeatAll(Collection<OwnedServer> owned) {
-    greeted.clear();
-    greetNewPeers(owned);
-  }
-
   /** Forgets servers that are no longer declared. */
   void retain(Collection<BackendServerRecord> declared) {
     Set<String> names = new HashSet<>();
--- a/node/src/main/java/io/nutmegseam/node/daemon/NodeDaemon.java
+++ b/node/src/main/java/io/nutmegseam/node/daemon/NodeDaemon.java
@@ -62,6 +62,7 @@
   private static final int OPERATOR_BODY_BYTES = 16 << 20;
   private static final long STOP_POLL_MILLIS = 20;
   private static final long RELEASE_MILLIS = 3_000;
+  private static final long FLUSH_MILLIS = 2_000;
   private static final long CLAIM_SLACK_MILLIS = 15_000;
 
   private final NodeSettings settings;
@@ -145,6 +146,7 @@
     events.record(EventKind.NODE_STOPPING, settings.node(), accept.inFlight() + " in flight");
     accept.stop();
     await(() -> accept.inFlight() == 0, settings.timing().drainMillis());
+    await(() -> accept.unsent() == 0, FLUSH_MILLIS);
     thread.execute(control::leave);
     thread.every(STOP_POLL_MILLIS, control::leave);
     await(() -> !control.holdsServers(), RELEASE_MILLIS);
