Graceful shutdown: only the node stops its HTTP servers

Cause: the HTTP library stopped its servers in a shutdown hook of its own, at once after the signal; answers of requests in flight were lost although the node logged them as answered.

--- a/node/src/main/java/io/nutmegseam/node/http/WebServer.java
+++ b/node/src/main/java/io/nutmegseam/node/http/WebServer.java
@@ -21,6 +21,11 @@
   /** Bytes beyond the body limit that are still read, so that the refusal names both sizes. */
   private static final int BODY_SLACK_BYTES = 64 << 10;
 
+  static {
+    // The node itself stops its servers, once the requests in flight are answered.
+    System.setProperty("jooby.useShutdownHook", "false");
+  }
+
   private final NettyServer server;
   private final ExecutorService workers;
 
