--- a/standin/src/main/java/io/nutmegseam/standin/Standin.java
+++ b/standin/src/main/java/io/nutmegseam/standin/Standin.java
@@ -1,32 +1,36 @@
 package io.nutmegseam.standin;
 
+import io.nutmegseam.standin.measure.Deployment;
+import io.nutmegseam.standin.measure.Measurement;
+import io.nutmegseam.standin.measure.Plan;
+import io.nutmegseam.standin.measure.Report;
 import io.nutmegseam.standin.world.StandinSettings;
 import io.nutmegseam.standin.world.StandinWorld;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Clock;
+import java.util.List;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
 
-/** Entry point of the stand-ins. They never ship with the product. */
+/** Entry point of the stand-ins and of the load driver. They never ship with the product. */
 public final class Standin {
   private static final int USAGE_STATUS = 2;
 
   private Standin() {}
 
   /**
-   * Runs stand-ins until the process is ended.
+   * Runs one command.
    *
-   * @param args {@code run --settings FILE}
+   * @param args {@code run}, {@code plan}, {@code drive} or {@code report} and their options
    */
   public static void main(String[] args) throws IOException, InterruptedException {
-    ArgumentParser parser = ArgumentParsers.newFor("standin").build();
-    Subparsers commands = parser.addSubparsers().dest("command");
-    commands.addParser("run").addArgument("--settings").required(true);
+    ArgumentParser parser = parser();
     Namespace arguments;
     try {
       arguments = parser.parseArgs(args);
@@ -35,9 +39,85 @@
       System.exit(USAGE_STATUS);
       return;
     }
+    switch (arguments.getString("command")) {
+      case "plan" ->
+          Plan.write(
+              deployment(arguments),
+              arguments.getBoolean("naive"),
+              arguments.getLong("seed"),
+              Path.of(arguments.getString("folder")));
+      case "drive" -> drive(arguments);
+      case "report" -> report(arguments);
+      default -> run(arguments);
+    }
+  }
+
+  private static ArgumentParser parser() {
+    ArgumentParser parser = ArgumentParsers.newFor("standin").build();
+    Subparsers commands = parser.addSubparsers().dest("command");
+    commands.addParser("run").addArgument("--settings").required(true);
+    Subparser plan = commands.addParser("plan");
+    plan.addArgument("--naive").action(net.sourceforge.argparse4j.impl.Arguments.storeTrue());
+    sizes(plan);
+    Subparser drive = commands.addParser("drive");
+    drive.addArgument("--label").setDefault("run");
+    drive.addArgument("--seconds").type(Integer.class).setDefault(60);
+    sizes(drive);
+    Subparser report = commands.addParser("report");
+    report.addArgument("--html").setDefault("");
+    report.addArgument("folders").nargs("+");
+    return parser;
+  }
+
+  private static void sizes(Subparser command) {
+    command.addArgument("--deployment").required(true);
+    command.addArgument("--folder").required(true);
+    command.addArgument("--seed").type(Long.class).setDefault(1L);
+    command.addArgument("--nodes").type(Integer.class).setDefault(0);
+    command.addArgument("--engines").type(Integer.class).setDefault(0);
+    command.addArgument("--models").type(Integer.class).setDefault(0);
+    command.addArgument("--adapters").type(Integer.class).setDefault(-1);
+    command.addArgument("--wakes").type(Double.class).setDefault(-1.0);
+  }
+
+  private static Deployment deployment(Namespace arguments) {
+    String name = arguments.getString("deployment");
+    return Deployment.named(name)
+        .orElseThrow(() -> new IllegalArgumentException("no deployment \"" + name + "\""))
+        .resized(
+            arguments.getInt("nodes"),
+            arguments.getInt("engines"),
+            arguments.getInt("models"),
+            arguments.getInt("adapters"),
+            arguments.getDouble("wakes"));
+  }
+
+  private static void drive(Namespace arguments) throws IOException, InterruptedException {
+    Path folder = Path.of(arguments.getString("folder"));
+    Measurement.run(
+        deployment(arguments),
+        arguments.getString("label"),
+        arguments.getLong("seed"),
+        arguments.getInt("seconds"),
+        folder);
+    System.out.print(new Report(List.of(folder)).table());
+    System.exit(0);
+  }
+
+  private static void report(Namespace arguments) throws IOException {
+    List<String> folders = arguments.getList("folders");
+    Report report = new Report(folders.stream().map(Path::of).toList());
+    System.out.print(report.table());
+    if (!arguments.getString("html").isEmpty()) {
+      Files.writeString(Path.of(arguments.getString("html")), report.html());
+    }
+  }
+
+  private static void run(Namespace arguments) throws IOException, InterruptedException {
     String text = Files.readString(Path.of(arguments.getString("settings")));
-    StandinWorld.start(StandinSettings.parse(text), Clock.systemUTC());
+    StandinWorld world = StandinWorld.start(StandinSettings.parse(text), Clock.systemUTC());
     System.out.println("standin: ready");
     Thread.currentThread().join();
+    world.close();
   }
 }
