--- a/standin/src/main/java/io/nutmegseam/standin/measure/Arrival.java
+++ b/standin/src/main/java/io/nutmegseam/standin/measure/Arrival.java
@@ -1,5 +1,7 @@
 package io.nutmegseam.standin.measure;
 
+import com.fasterxml.jackson.annotation.JsonIgnore;
+
 /**
  * One request of the load.
  *
@@ -13,6 +15,7 @@
 public record Arrival(
     long atMillis, int node, String unit, String prompt, int tokens, boolean interactive) {
   /** Returns whether this is a payment. */
+  @JsonIgnore
   public boolean isPayment() {
     return unit.isEmpty();
   }
