--- /dev/null
+++ b/node/src/test/java/io/nutmegseam/node/command/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the command line. */
+package io.nutmegseam.node.command;
--- /dev/null
+++ b/node/src/test/java/io/nutmegseam/node/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of a node's parts. */
+package io.nutmegseam.node;
--- /dev/null
+++ b/node/src/test/java/io/nutmegseam/node/peer/PeerNetworkTest.java
@@ -0,0 +1,162 @@
+package io.nutmegseam.node.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import io.nutmegseam.core.event.EventKind;
+import io.nutmegseam.core.event.HybridClock;
+import io.nutmegseam.node.peer.generated.Heartbeat;
+import io.nutmegseam.node.peer.generated.Hello;
+import io.nutmegseam.node.peer.generated.PeerFrame;
+import io.nutmegseam.node.settings.HostPort;
+import io.nutmegseam.node.settings.NodeSettings;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.time.Clock;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class PeerNetworkTest {
+  private static final int MAX_FRAME_BYTES = 4_096;
+
+  private final List<EventKind> events = new CopyOnWriteArrayList<>();
+  private final List<PeerFrame> frames = new CopyOnWriteArrayList<>();
+  private HostPort address;
+  private PeerNetwork network;
+
+  @BeforeEach
+  void listen() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      address = new HostPort("127.0.0.1", socket.getLocalPort());
+    }
+    network = network("n1", "token");
+    network.listen(address);
+  }
+
+  @AfterEach
+  void close() {
+    network.close();
+  }
+
+  @Nested
+  class Peers {
+    @Test
+    void should_exchange_frames_after_the_greeting() {
+      try (PeerNetwork other = network("n2", "token")) {
+        // GIVEN
+        other.connect(address);
+        await().until(() -> other.connected().contains("n1"));
+        // WHEN
+        Heartbeat beat = Heartbeat.newBuilder().setConfigRevision(7).build();
+        other.send("n1", PeerFrame.newBuilder().setHeartbeat(beat));
+        // THEN
+        await().until(() -> !frames.isEmpty());
+        assertThat(frames.get(0).getHeartbeat().getConfigRevision()).isEqualTo(7);
+      }
+    }
+
+    @Test
+    void should_keep_one_connection_if_both_dial() throws IOException {
+      try (PeerNetwork other = network("n2", "token")) {
+        // GIVEN
+        other.connect(address);
+        await().until(() -> network.connected().contains("n2"));
+        // WHEN
+        for (int i = 0; i < 20; i++) {
+          other.connect(address);
+        }
+        // THEN
+        assertThat(network.connected()).containsExactly("n2");
+        assertThat(events).doesNotContain(EventKind.PEER_DISCONNECTED);
+      }
+    }
+
+    @Test
+    void should_be_rejected_with_a_wrong_token() {
+      try (PeerNetwork stranger = network("n2", "guess")) {
+        // WHEN
+        stranger.connect(address);
+        // THEN
+        await().until(() -> events.contains(EventKind.PEER_REJECTED));
+        assertThat(network.connected()).isEmpty();
+      }
+    }
+  }
+
+  @Nested
+  class HostileInput {
+    @Test
+    void should_be_rejected_without_a_greeting() throws IOException {
+      // GIVEN
+      PeerFrame frame = PeerFrame.newBuilder().setHeartbeat(Heartbeat.getDefaultInstance()).build();
+      // WHEN
+      send(out -> frame.writeDelimitedTo(out));
+      // THEN
+      await().until(() -> events.contains(EventKind.PEER_REJECTED));
+      assertThat(frames).isEmpty();
+    }
+
+    @Test
+    void should_be_rejected_if_a_frame_is_over_the_limit() throws IOException {
+      // GIVEN
+      Hello hello = Hello.newBuilder().setNode("x".repeat(3 * MAX_FRAME_BYTES)).build();
+      // WHEN
+      send(out -> PeerFrame.newBuilder().setHello(hello).build().writeDelimitedTo(out));
+      // THEN
+      await().until(() -> events.contains(EventKind.PEER_REJECTED));
+    }
+
+    @Test
+    void should_not_harm_the_node_if_it_is_random() throws IOException {
+      // GIVEN
+      Random random = new Random(42);
+      // WHEN
+      for (int i = 0; i < 50; i++) {
+        byte[] noise = new byte[1 + random.nextInt(2_000)];
+        random.nextBytes(noise);
+        send(out -> out.write(noise));
+      }
+      // THEN
+      try (PeerNetwork other = network("n2", "token")) {
+        other.connect(address);
+        await().until(() -> network.connected().contains("n2"));
+      }
+      assertThat(frames).isEmpty();
+    }
+
+    private void send(Bytes bytes) throws IOException {
+      try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), address.port())) {
+        bytes.write(socket.getOutputStream());
+        socket.getOutputStream().flush();
+        socket.shutdownOutput();
+        socket.getInputStream().readAllBytes();
+      } catch (java.net.SocketException e) {
+        // The node has reset the connection.
+      }
+    }
+  }
+
+  /** Writes bytes to a connection. */
+  private interface Bytes {
+    void write(OutputStream out) throws IOException;
+  }
+
+  private PeerNetwork network(String node, String token) {
+    return new PeerNetwork(
+        new PeerIdentity(node, "i-" + node, "dc", token),
+        MAX_FRAME_BYTES,
+        new HybridClock(Clock.systemUTC()),
+        (kind, subject, detail) -> events.add(kind),
+        (from, frame) -> frames.add(frame),
+        new PeerTlsContexts(new NodeSettings.PeerTls("", "", "")),
+        new PeerTraffic());
+  }
+}
--- /dev/null
+++ b/node/src/test/java/io/nutmegseam/node/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of connections between nodes. */
+package io.nutmegseam.node.peer;
--- a/standin/src/main/java/io/nutmegseam/standin/measure/Workload.java
+++ b/standin/src/main/java/io/nutmegseam/standin/measure/Workload.java
@@ -5,17 +5,23 @@
 import java.util.List;
 import java.util.Random;
 
-/** Makes a seeded open-loop load: bursts that wake units at all nodes, follow-ups and payments. */
+/**
+ * Makes a seeded open-loop load: bursts that wake units at several nodes, rushes of many units,
+ * follow-ups and payments.
+ */
 public final class Workload {
   private static final int BURST_MILLIS = 150;
   private static final int FOLLOW_UPS = 3;
   private static final int FOLLOW_UP_MILLIS = 12_000;
   private static final double BATCH_SHARE = 0.15;
   private static final double PAYMENTS_PER_SECOND = 2;
-  private static final double POPULARITY_EXPONENT = 0.7;
+  private static final double POPULARITY_EXPONENT = 0.35;
   private static final int MIN_TOKENS = 16;
   private static final int MORE_TOKENS = 48;
   private static final int BATCH_FACTOR = 4;
+  private static final int RUSH_INTERVAL_MILLIS = 20_000;
+  private static final int RUSH_MILLIS = 1_000;
+  private static final int RUSH_SHARE = 8;
   private static final int MILLIS_PER_SECOND = 1_000;
 
   private final Deployment deployment;
@@ -45,6 +51,9 @@
         at += next(deployment.wakesPerSecond())) {
       wake((long) at, endMillis);
     }
+    for (long at = RUSH_INTERVAL_MILLIS / 2; at < endMillis; at += RUSH_INTERVAL_MILLIS) {
+      rush(at, endMillis);
+    }
     for (double at = next(PAYMENTS_PER_SECOND); at < endMillis; at += next(PAYMENTS_PER_SECOND)) {
       arrivals.add(new Arrival((long) at, node(), "", "pay-" + arrivals.size(), 0, true));
     }
@@ -52,6 +61,13 @@
     return arrivals;
   }
 
+  /** Many units wake at nearly the same time, as at the beginning of a lesson or a meal. */
+  private void rush(long atMillis, long endMillis) {
+    for (int i = 0; i < deployment.units().size() / RUSH_SHARE; i++) {
+      wake(atMillis + random.nextInt(RUSH_MILLIS), endMillis);
+    }
+  }
+
   /** A burst of first requests at several nodes at once, then follow-ups. */
   private void wake(long atMillis, long endMillis) {
     String unit = unit();
