--- a/core/src/main/java/io/nutmegseam/core/backend/BackendException.java
+++ b/core/src/main/java/io/nutmegseam/core/backend/BackendException.java
@@ -10,6 +10,8 @@
     REFUSED,
     /** The server saw a higher fencing number and did not run the order. */
     FENCED,
+    /** The answer belongs to another attempt. */
+    CROSSED,
     /** The server may have run the call. */
     UNKNOWN,
     /** The connection broke after the call was sent; the server may be gone. */
--- a/core/src/main/java/io/nutmegseam/core/lease/LeaseObserver.java
+++ b/core/src/main/java/io/nutmegseam/core/lease/LeaseObserver.java
@@ -14,16 +14,24 @@
  * Immutable.
  */
 public final class LeaseObserver {
+  private static final long UNWATCHED = Long.MAX_VALUE;
+
   private final long leaseMillis;
   private final Map<String, Seen> seenByNode;
   private final Set<String> vms;
   private final Set<String> vmsEverSeen;
+  private final long watchedSinceMillis;
 
   private record Seen(LeaseRow row, long changedAtMillis) {}
 
   private LeaseObserver(
-      long leaseMillis, Map<String, Seen> seenByNode, Set<String> vms, Set<String> vmsEverSeen) {
+      long leaseMillis,
+      Map<String, Seen> seenByNode,
+      Set<String> vms,
+      Set<String> vmsEverSeen,
+      long watchedSinceMillis) {
     this.leaseMillis = leaseMillis;
+    this.watchedSinceMillis = watchedSinceMillis;
     this.seenByNode = seenByNode;
     this.vms = vms;
     this.vmsEverSeen = vmsEverSeen;
@@ -35,7 +43,7 @@
    * @param leaseMillis time without a renewal after which a lease lapses, in milliseconds
    */
   public static LeaseObserver of(long leaseMillis) {
-    return new LeaseObserver(leaseMillis, Map.of(), Set.of(), Set.of());
+    return new LeaseObserver(leaseMillis, Map.of(), Set.of(), Set.of(), UNWATCHED);
   }
 
   /**
@@ -52,7 +60,8 @@
         next.put(row.node(), new Seen(row, nowMillis));
       }
     }
-    return new LeaseObserver(leaseMillis, next, vms, vmsEverSeen);
+    long since = watchedSinceMillis == UNWATCHED ? nowMillis : watchedSinceMillis;
+    return new LeaseObserver(leaseMillis, next, vms, vmsEverSeen, since);
   }
 
   /**
@@ -63,7 +72,7 @@
   public LeaseObserver withVms(Set<String> names) {
     Set<String> ever = new HashSet<>(vmsEverSeen);
     ever.addAll(names);
-    return new LeaseObserver(leaseMillis, seenByNode, Set.copyOf(names), ever);
+    return new LeaseObserver(leaseMillis, seenByNode, Set.copyOf(names), ever, watchedSinceMillis);
   }
 
   /**
@@ -74,7 +83,7 @@
   public LeaseObserver restartWatch(long nowMillis) {
     Map<String, Seen> next = new HashMap<>();
     seenByNode.forEach((node, seen) -> next.put(node, new Seen(seen.row(), nowMillis)));
-    return new LeaseObserver(leaseMillis, next, vms, vmsEverSeen);
+    return new LeaseObserver(leaseMillis, next, vms, vmsEverSeen, nowMillis);
   }
 
   /** Returns the last row seen of a node. */
@@ -111,6 +120,16 @@
         .toList();
   }
 
+  /**
+   * Returns whether every row has been watched for a time, so that one that stands still is old.
+   *
+   * @param millis the time, in milliseconds
+   * @param nowMillis monotonic time
+   */
+  public boolean hasWatchedFor(long millis, long nowMillis) {
+    return watchedSinceMillis != UNWATCHED && nowMillis - watchedSinceMillis >= millis;
+  }
+
   /**
    * Returns what is known about a holder.
    *
--- a/node/src/main/java/io/nutmegseam/node/backend/CompletionClient.java
+++ b/node/src/main/java/io/nutmegseam/node/backend/CompletionClient.java
@@ -184,7 +184,7 @@
   private record CrossedAnswer(String wanted, String echoed) {
     BackendException asException() {
       return new BackendException(
-          Outcome.UNKNOWN, "answer of attempt \"%s\" came for \"%s\"".formatted(echoed, wanted));
+          Outcome.CROSSED, "answer of attempt \"%s\" came for \"%s\"".formatted(echoed, wanted));
     }
   }
 }
--- a/node/src/main/java/io/nutmegseam/node/caller/CompletionDispatch.java
+++ b/node/src/main/java/io/nutmegseam/node/caller/CompletionDispatch.java
@@ -46,8 +46,7 @@
       send(call, attempt, relay);
     } catch (BackendException e) {
       client.cancel(attempt);
-      boolean crossed = String.valueOf(e.getMessage()).startsWith("answer of attempt");
-      if (crossed) {
+      if (e.outcome() == BackendException.Outcome.CROSSED) {
         events.record(EventKind.ANSWER_CROSSED, call.id(), e.getMessage());
       }
       throw new AttemptException(e, relay.position());
--- a/node/src/main/java/io/nutmegseam/node/caller/RouteFilter.java
+++ b/node/src/main/java/io/nutmegseam/node/caller/RouteFilter.java
@@ -125,7 +125,9 @@
         loads.outcome(target.name(), true);
         return answered;
       } catch (AttemptException failure) {
-        loads.outcome(target.name(), failure.reason().provedNotRun());
+        if (loads.outcome(target.name(), failure.reason().provedNotRun())) {
+          events.record(EventKind.SERVER_EJECTED, target.name(), failure.getMessage());
+        }
         noteCrash(call, target, incarnation, failure, policy);
         tried = tried.with(target.name(), failure.reason().provedNotRun());
         checkRepeat(call, sink, failure, tried);
--- a/node/src/main/java/io/nutmegseam/node/control/LoadBoard.java
+++ b/node/src/main/java/io/nutmegseam/node/control/LoadBoard.java
@@ -58,10 +58,14 @@
     outstanding.get(server).decrementAndGet();
   }
 
-  /** Notes whether a call succeeded. */
-  public void outcome(String server, boolean succeeded) {
-    ejection.updateAndGet(
-        known -> succeeded ? known.succeeded(server) : known.failed(server, clock.millis()));
+  /** Notes whether a call succeeded; returns whether the server is ejected by it. */
+  public boolean outcome(String server, boolean succeeded) {
+    long nowMillis = clock.millis();
+    OutlierEjection before =
+        ejection.getAndUpdate(
+            known -> succeeded ? known.succeeded(server) : known.failed(server, nowMillis));
+    boolean was = before.isEjected(server, nowMillis);
+    return !was && ejection.get().isEjected(server, nowMillis);
   }
 
   /** Returns the ejected servers. */
--- a/node/src/main/java/io/nutmegseam/node/control/NodeControl.java
+++ b/node/src/main/java/io/nutmegseam/node/control/NodeControl.java
@@ -44,7 +44,8 @@
   private final BudgetControl budget;
   private final LoadControl loading;
   private final DemandControl demand;
-  private final ServerStates states;
+  private final ServerStateShare states;
+  private final RetentionControl retention;
   private final StrikeControl strikes;
   private final Map<String, Long> heardAtMillis = new HashMap<>();
   private boolean dirty = true;
@@ -96,11 +97,12 @@
     this.membership =
         new MembershipControl(context, parts.vmList(), () -> config.catalog().revision());
     this.rows = new ControlRowsReader(context, this::onRows, this::onRowsConfirmed);
-    this.states = new ServerStates(outbox, parts.loads(), this::isNear);
+    this.states = new ServerStateShare(outbox, parts.loads(), this::isNear);
     this.ownership =
         new OwnershipControl(
             context, membership, rows, parts.engines(), parts.takeover(), this::onServerChange);
     this.placement = new PlacementControl(context, rows);
+    this.retention = new RetentionControl(context);
     this.budget = new BudgetControl(context, outbox, () -> config.catalog().policy(), this);
     this.loading = new LoadControl(context, budget.client());
     this.demand =
@@ -325,6 +327,9 @@
     Catalog catalog = config.catalog();
     if (config.isLoaded() && context.health().isAvailable()) {
       placement.plan(planner, catalog, name -> condition(catalog.backendServer(name)));
+      if (planner) {
+        retention.round(catalog.policy().claimRetentionMillis(), membership.observer());
+      }
     }
   }
 
--- a/node/src/main/java/io/nutmegseam/node/control/ServerStates.java
+++ b/node/src/main/java/io/nutmegseam/node/control/ServerStateShare.java
@@ -4,6 +4,7 @@
 import io.nutmegseam.node.peer.Outbox;
 import io.nutmegseam.node.peer.generated.PeerFrame;
 import io.nutmegseam.node.peer.generated.ServerState;
+import io.nutmegseam.node.peer.generated.ServerStates;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -12,7 +13,7 @@
 import java.util.function.Predicate;
 
 /** Shares the state of backend servers with the peers and keeps what peers say. */
-final class ServerStates {
+final class ServerStateShare {
   private final Outbox outbox;
   private final LoadBoard loads;
   private final Predicate<String> isNear;
@@ -26,7 +27,7 @@
    * @param loads takes the loads that peers report
    * @param isNear says whether a node is in this data centre
    */
-  ServerStates(Outbox outbox, LoadBoard loads, Predicate<String> isNear) {
+  ServerStateShare(Outbox outbox, LoadBoard loads, Predicate<String> isNear) {
     this.outbox = outbox;
     this.loads = loads;
     this.isNear = isNear;
@@ -45,7 +46,7 @@
   }
 
   /** Takes in the states that a peer sent; returns whether what is loaded changed. */
-  boolean onPeerStates(io.nutmegseam.node.peer.generated.ServerStates message) {
+  boolean onPeerStates(ServerStates message) {
     boolean changed = false;
     for (ServerState state : message.getStatesList()) {
       loads.report(state.getServer(), state.getRunning() + state.getQueued());
@@ -58,8 +59,7 @@
 
   /** Tells the load of the owned servers to the nodes of this data centre, or to all. */
   void shareLoads(Collection<OwnedServer> owned, boolean far) {
-    io.nutmegseam.node.peer.generated.ServerStates.Builder message =
-        io.nutmegseam.node.peer.generated.ServerStates.newBuilder();
+    ServerStates.Builder message = ServerStates.newBuilder();
     for (OwnedServer server : owned) {
       int load = server.report().running() + server.report().queued();
       boolean news = loads.sample(server.record().name()).load() != load;
@@ -121,9 +121,7 @@
             .addAllLoadingUnits(view.loadingUnits())
             .setEngineIncarnation(view.engineIncarnation())
             .setLoadOnly(false);
-    return PeerFrame.newBuilder()
-        .setServerStates(
-            io.nutmegseam.node.peer.generated.ServerStates.newBuilder().addStates(state));
+    return PeerFrame.newBuilder().setServerStates(ServerStates.newBuilder().addStates(state));
   }
 
   private static ServerState load(OwnedServer server) {
--- a/node/src/main/java/io/nutmegseam/node/daemon/NodeDaemon.java
+++ b/node/src/main/java/io/nutmegseam/node/daemon/NodeDaemon.java
@@ -124,7 +124,8 @@
     control.start();
     Supplier<Catalog> catalog = () -> tables.current().catalog();
     NodeQueries queries = new NodeQueries(context, control, tables, network, accept);
-    RecordWriter writer = new RecordWriter(context.table(), catalog, queries::liveNodes, wall);
+    RecordWriter writer =
+        new RecordWriter(context.table(), catalog, queries::liveNodes, wall, events);
     OperatorApi operators =
         new OperatorApi(settings.operatorToken(), writer, catalog, queries, events, metrics);
     operatorServer =
--- a/node/src/main/java/io/nutmegseam/node/operator/OperatorApi.java
+++ b/node/src/main/java/io/nutmegseam/node/operator/OperatorApi.java
@@ -74,6 +74,7 @@
     app.get("/v1/revision", guarded(context -> queries.revision()));
     app.get("/v1/status", guarded(context -> queries.status()));
     app.get("/v1/placements", guarded(context -> queries.placements()));
+    app.get("/v1/heap", guarded(context -> Reports.Heap.afterCollection()));
     app.get("/v1/timeline", guarded(context -> timeline()));
     app.get("/v1/history", guarded(context -> queries.history()));
     app.get("/v1/records", guarded(context -> records(context.query("kind").valueOrNull())));
--- a/node/src/main/java/io/nutmegseam/node/operator/RecordWriter.java
+++ b/node/src/main/java/io/nutmegseam/node/operator/RecordWriter.java
@@ -9,6 +9,8 @@
 import io.nutmegseam.core.config.ReferenceCheck;
 import io.nutmegseam.core.error.ErrorKind;
 import io.nutmegseam.core.error.ServeException;
+import io.nutmegseam.core.event.EventKind;
+import io.nutmegseam.core.event.EventSink;
 import io.nutmegseam.core.json.Fault;
 import io.nutmegseam.core.lease.LeaseRow;
 import io.nutmegseam.core.platform.CommitResult;
@@ -35,6 +37,7 @@
   private final Supplier<Catalog> catalog;
   private final Supplier<List<LeaseRow>> liveNodes;
   private final Clock wall;
+  private final EventSink events;
 
   /**
    * Creates the writer.
@@ -43,12 +46,15 @@
    * @param catalog returns the records in force
    * @param liveNodes returns the leases of live nodes
    * @param wall wall clock
+   * @param events event log
    */
   public RecordWriter(
       TableService table,
       Supplier<Catalog> catalog,
       Supplier<List<LeaseRow>> liveNodes,
-      Clock wall) {
+      Clock wall,
+      EventSink events) {
+    this.events = events;
     this.table = table;
     this.catalog = catalog;
     this.liveNodes = liveNodes;
@@ -151,6 +157,10 @@
       for (int attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
         OptionalLong revision = tryCommit(request, changes);
         if (revision.isPresent()) {
+          events.record(
+              EventKind.CONFIG_CHANGED,
+              Long.toString(revision.getAsLong()),
+              request.operator() + " " + request.changeId());
           return revision.getAsLong();
         }
       }
--- a/node/src/main/java/io/nutmegseam/node/operator/Reports.java
+++ b/node/src/main/java/io/nutmegseam/node/operator/Reports.java
@@ -15,6 +15,20 @@
    */
   public record Revision(String node, long revision) {}
 
+  /**
+   * Heap of a node.
+   *
+   * @param usedBytes bytes in use
+   */
+  public record Heap(long usedBytes) {
+    /** Collects garbage and returns what is left. */
+    static Heap afterCollection() {
+      Runtime runtime = Runtime.getRuntime();
+      System.gc();
+      return new Heap(runtime.totalMemory() - runtime.freeMemory());
+    }
+  }
+
   /**
    * The outcome of a change.
    *
--- a/node/src/test/java/io/nutmegseam/node/peer/PeerNetworkTest.java
+++ b/node/src/test/java/io/nutmegseam/node/peer/PeerNetworkTest.java
@@ -15,6 +15,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.file.Path;
 import java.time.Clock;
 import java.util.List;
 import java.util.Random;
@@ -23,6 +24,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 class PeerNetworkTest {
   private static final int MAX_FRAME_BYTES = 4_096;
@@ -34,9 +36,7 @@
 
   @BeforeEach
   void listen() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      address = new HostPort("127.0.0.1", socket.getLocalPort());
-    }
+    address = new HostPort("127.0.0.1", freePort());
     network = network("n1", "token");
     network.listen(address);
   }
@@ -144,19 +144,72 @@
     }
   }
 
+  @Nested
+  class Tls {
+    @TempDir private Path folder;
+
+    @Test
+    void should_connect_peers_with_keys_of_the_same_authority_and_no_others() throws Exception {
+      // GIVEN
+      NodeSettings.PeerTls keys = TestKeys.create(folder, "ours");
+      NodeSettings.PeerTls foreign = TestKeys.create(folder, "foreign");
+      HostPort secure = new HostPort("127.0.0.1", freePort());
+      try (PeerNetwork server = network("s1", "token", keys);
+          PeerNetwork friend = network("s2", "token", keys);
+          PeerNetwork stranger = network("s3", "token", foreign);
+          PeerNetwork plain = network("s4", "token")) {
+        server.listen(secure);
+        // WHEN
+        stranger.connect(secure);
+        plain.connect(secure);
+        friend.connect(secure);
+        // THEN
+        await().until(() -> server.connected().contains("s2"));
+        await().until(() -> events.contains(EventKind.PEER_REJECTED));
+        assertThat(server.connected()).containsExactly("s2");
+      }
+    }
+
+    @Test
+    void should_use_replaced_keys_without_a_restart() throws Exception {
+      // GIVEN
+      NodeSettings.PeerTls keys = TestKeys.create(folder, "ours");
+      HostPort secure = new HostPort("127.0.0.1", freePort());
+      try (PeerNetwork server = network("s1", "token", keys);
+          PeerNetwork friend = network("s2", "token", keys)) {
+        server.listen(secure);
+        // WHEN
+        TestKeys.create(folder, "ours");
+        friend.connect(secure);
+        // THEN
+        await().until(() -> server.connected().contains("s2"));
+      }
+    }
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return socket.getLocalPort();
+    }
+  }
+
   /** Writes bytes to a connection. */
   private interface Bytes {
     void write(OutputStream out) throws IOException;
   }
 
   private PeerNetwork network(String node, String token) {
+    return network(node, token, new NodeSettings.PeerTls("", "", ""));
+  }
+
+  private PeerNetwork network(String node, String token, NodeSettings.PeerTls keys) {
     return new PeerNetwork(
         new PeerIdentity(node, "i-" + node, "dc", token),
         MAX_FRAME_BYTES,
         new HybridClock(Clock.systemUTC()),
         (kind, subject, detail) -> events.add(kind),
         (from, frame) -> frames.add(frame),
-        new PeerTlsContexts(new NodeSettings.PeerTls("", "", "")),
+        new PeerTlsContexts(keys),
         new PeerTraffic());
   }
 }
--- a/standin/src/main/java/io/nutmegseam/standin/Standin.java
+++ b/standin/src/main/java/io/nutmegseam/standin/Standin.java
@@ -1,6 +1,7 @@
 package io.nutmegseam.standin;
 
 import io.nutmegseam.standin.measure.Deployment;
+import io.nutmegseam.standin.measure.Fit;
 import io.nutmegseam.standin.measure.Measurement;
 import io.nutmegseam.standin.measure.Plan;
 import io.nutmegseam.standin.measure.Report;
@@ -27,7 +28,8 @@
   /**
    * Runs one command.
    *
-   * @param args {@code run}, {@code plan}, {@code drive} or {@code report} and their options
+   * @param args {@code run}, {@code plan}, {@code drive}, {@code report} or {@code fit} and their
+   *     options
    */
   public static void main(String[] args) throws IOException, InterruptedException {
     ArgumentParser parser = parser();
@@ -48,6 +50,7 @@
               Path.of(arguments.getString("folder")));
       case "drive" -> drive(arguments);
       case "report" -> report(arguments);
+      case "fit" -> fit(arguments);
       default -> run(arguments);
     }
   }
@@ -66,6 +69,9 @@
     Subparser report = commands.addParser("report");
     report.addArgument("--html").setDefault("");
     report.addArgument("folders").nargs("+");
+    Subparser fit = commands.addParser("fit");
+    fit.addArgument("--sizes").nargs("+").type(Double.class).required(true);
+    fit.addArgument("--folders").nargs("+").required(true);
     return parser;
   }
 
@@ -113,6 +119,12 @@
     }
   }
 
+  private static void fit(Namespace arguments) throws IOException {
+    List<String> folders = arguments.getList("folders");
+    List<Path> paths = folders.stream().map(Path::of).toList();
+    System.out.print(new Fit(arguments.getList("sizes"), paths).markdown());
+  }
+
   private static void run(Namespace arguments) throws IOException, InterruptedException {
     String text = Files.readString(Path.of(arguments.getString("settings")));
     StandinWorld world = StandinWorld.start(StandinSettings.parse(text), Clock.systemUTC());
--- a/standin/src/main/java/io/nutmegseam/standin/measure/Measurement.java
+++ b/standin/src/main/java/io/nutmegseam/standin/measure/Measurement.java
@@ -28,22 +28,21 @@
     watch.start();
     Path pids = folder.resolve("node-pids");
     final EngineTotals enginesBefore = watch.totals();
+    final TableTotals tableBefore = TableTotals.read(plan.platform());
     final NodeTotals nodesBefore = NodeTotals.read(plan.operators(), pids);
     final long startNanos = System.nanoTime();
     List<Arrival> arrivals = new Workload(deployment, seed).arrivals(seconds);
     List<Outcome> outcomes = new Driver(plan, watch).run(arrivals);
     double spentSeconds = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos) / 1_000.0;
     watch.stop();
-    Result result =
-        ResultBuilder.build(
-            label,
-            seconds,
-            deployment.nodes(),
-            outcomes,
+    ResultBuilder.Counted counted =
+        new ResultBuilder.Counted(
             watch.totals().minus(enginesBefore),
             NodeTotals.read(plan.operators(), pids).minus(nodesBefore),
+            TableTotals.read(plan.platform()).minus(tableBefore),
             watch.idleWhileWaitingMillis(),
             spentSeconds);
+    Result result = ResultBuilder.build(label, seconds, deployment.nodes(), outcomes, counted);
     Files.writeString(
         folder.resolve("result.json"),
         Exchange.JSON.writerWithDefaultPrettyPrinter().writeValueAsString(result));
--- a/standin/src/main/java/io/nutmegseam/standin/measure/NodeTotals.java
+++ b/standin/src/main/java/io/nutmegseam/standin/measure/NodeTotals.java
@@ -1,5 +1,6 @@
 package io.nutmegseam.standin.measure;
 
+import io.nutmegseam.standin.http.Exchange;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -19,13 +20,13 @@
  * @param controlCpuSeconds processor time of the control threads
  * @param sentBytesByKind bytes sent to other nodes, by message kind
  * @param residentBytes resident memory of the node processes, sum
- * @param heapAfterGcBytes not measured: -1
+ * @param heapKibibytes heap of the first node after a collection; 0 if not read
  */
 record NodeTotals(
     double controlCpuSeconds,
     Map<String, Double> sentBytesByKind,
     long residentBytes,
-    long heapAfterGcBytes) {
+    long heapKibibytes) {
   private static final Pattern CPU =
       Pattern.compile("^nutmegseam_control_cpu_seconds_total (\\S+)", Pattern.MULTILINE);
   private static final Pattern SENT =
@@ -50,14 +51,25 @@
         }
       }
     }
-    return new NodeTotals(cpuSeconds, sent, residentBytes(pidFile), -1);
+    return new NodeTotals(cpuSeconds, sent, residentBytes(pidFile), heap(client, operators.get(0)));
+  }
+
+  /** Asks the first node for its heap after a collection. */
+  private static long heap(OkHttpClient client, String operator) throws IOException {
+    Request request = new Request.Builder().url(operator + "/v1/heap").build();
+    try (Response response = client.newCall(request).execute()) {
+      String body = response.body().string();
+      return response.isSuccessful()
+          ? Exchange.JSON.readTree(body).path("usedBytes").asLong() / KIBIBYTE
+          : 0;
+    }
   }
 
   NodeTotals minus(NodeTotals earlier) {
     Map<String, Double> sent = new TreeMap<>(sentBytesByKind);
     earlier.sentBytesByKind.forEach((kind, bytes) -> sent.merge(kind, -bytes, Double::sum));
     return new NodeTotals(
-        controlCpuSeconds - earlier.controlCpuSeconds, sent, residentBytes, heapAfterGcBytes);
+        controlCpuSeconds - earlier.controlCpuSeconds, sent, residentBytes, heapKibibytes);
   }
 
   double sentBytes() {
--- a/standin/src/main/java/io/nutmegseam/standin/measure/Result.java
+++ b/standin/src/main/java/io/nutmegseam/standin/measure/Result.java
@@ -27,6 +27,9 @@
  * @param residentMebibytes resident memory of a node process
  * @param sentBytesPerSecond bytes that a node sends to other nodes a second
  * @param sentBytesPerSecondByKind the same by message kind
+ * @param heapKibibytes heap of the first node after a collection; 0 if not read
+ * @param tableReadsPerSecond range reads of all nodes
+ * @param tableCommitsPerSecond committed transactions of all nodes
  */
 public record Result(
     String label,
@@ -50,4 +53,7 @@
     double controlCorePercent,
     double residentMebibytes,
     double sentBytesPerSecond,
-    Map<String, Double> sentBytesPerSecondByKind) {}
+    Map<String, Double> sentBytesPerSecondByKind,
+    long heapKibibytes,
+    double tableReadsPerSecond,
+    double tableCommitsPerSecond) {}
--- a/standin/src/main/java/io/nutmegseam/standin/measure/ResultBuilder.java
+++ b/standin/src/main/java/io/nutmegseam/standin/measure/ResultBuilder.java
@@ -18,15 +18,19 @@
 
   private ResultBuilder() {}
 
-  static Result build(
-      String label,
-      int seconds,
-      int nodes,
-      List<Outcome> outcomes,
+  /** What was counted during a run. */
+  record Counted(
       EngineTotals engines,
       NodeTotals spent,
+      TableTotals table,
       double idleWhileWaitingMillis,
-      double spentSeconds) {
+      double spentSeconds) {}
+
+  static Result build(
+      String label, int seconds, int nodes, List<Outcome> outcomes, Counted counted) {
+    EngineTotals engines = counted.engines();
+    NodeTotals spent = counted.spent();
+    double spentSeconds = counted.spentSeconds();
     List<Outcome> cold = select(outcomes, o -> o.cold());
     Map<String, Double> sent = new TreeMap<>();
     spent
@@ -50,14 +54,17 @@
         round((double) engines.loads() / Math.max(1, wakes)),
         engines.unusedLoads(),
         round(engines.idleMillis() / MILLIS_PER_SECOND),
-        round(idleWhileWaitingMillis / MILLIS_PER_SECOND),
+        round(counted.idleWhileWaitingMillis() / MILLIS_PER_SECOND),
         round(engines.busyMillis() / MILLIS_PER_SECOND),
         engines.overcommits(),
         round((double) (whole - late) / seconds),
         round(spent.controlCpuSeconds() / nodes / spentSeconds * PERCENT),
         round(spent.residentBytes() / MEBIBYTE / nodes),
         round(spent.sentBytes() / nodes / spentSeconds),
-        sent);
+        sent,
+        spent.heapKibibytes(),
+        round(counted.table().reads() / spentSeconds),
+        round(counted.table().commits() / spentSeconds));
   }
 
   private static boolean isLate(Outcome outcome) {
--- /dev/null
+++ b/standin/src/main/java/io/nutmegseam/standin/measure/TableTotals.java
@@ -0,0 +1,28 @@
+package io.nutmegseam.standin.measure;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.nutmegseam.standin.http.Exchange;
+import java.io.IOException;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.Response;
+
+/**
+ * What the table service did.
+ *
+ * @param reads range reads
+ * @param commits committed transactions
+ */
+record TableTotals(long reads, long commits) {
+  static TableTotals read(String platform) throws IOException {
+    Request request = new Request.Builder().url(platform + "/stats").build();
+    try (Response response = new OkHttpClient().newCall(request).execute()) {
+      JsonNode stats = Exchange.JSON.readTree(response.body().string());
+      return new TableTotals(stats.path("reads").asLong(), stats.path("commits").asLong());
+    }
+  }
+
+  TableTotals minus(TableTotals earlier) {
+    return new TableTotals(reads - earlier.reads, commits - earlier.commits);
+  }
+}
--- a/standin/src/main/java/io/nutmegseam/standin/measure/Workload.java
+++ b/standin/src/main/java/io/nutmegseam/standin/measure/Workload.java
@@ -22,6 +22,7 @@
   private static final int RUSH_INTERVAL_MILLIS = 20_000;
   private static final int RUSH_MILLIS = 1_000;
   private static final int RUSH_SHARE = 8;
+  private static final int SPREAD = 11;
   private static final int MILLIS_PER_SECOND = 1_000;
 
   private final Deployment deployment;
@@ -103,7 +104,7 @@
     List<String> units = deployment.units();
     double u = random.nextDouble();
     int index = (int) (units.size() * Math.pow(u, 1 / (1 - POPULARITY_EXPONENT)));
-    return units.get(Math.min(index, units.size() - 1) * 7 % units.size());
+    return units.get(Math.min(index, units.size() - 1) * SPREAD % units.size());
   }
 
   private int node() {
--- /dev/null
+++ b/standin/src/test/java/io/nutmegseam/standin/contract/package-info.java
@@ -0,0 +1,2 @@
+/** Contract tests of each interface: the stand-in through the real adapter, faults in tables. */
+package io.nutmegseam.standin.contract;
