--- a/standin/src/test/java/io/nutmegseam/standin/contract/EngineContractTest.java
+++ b/standin/src/test/java/io/nutmegseam/standin/contract/EngineContractTest.java
@@ -134,7 +134,7 @@
       load();
       standin.faults().set(List.of(new FaultRule("completion", FaultMode.CUT, 1, 0, "")));
       List<Integer> positions = new ArrayList<>();
-      catchThrowableOfType(BackendException.class, () -> run(positions));
+      assertThat(catchThrowableOfType(BackendException.class, () -> run(positions))).isNotNull();
       int received = positions.get(positions.size() - 1);
       // WHEN
       new CompletionClient(new OkHttpClient())
