Weight-store permits cover the transfer only; inventories are read at once while an order is open

Cause: a permit was held until the next poll saw the load done (up to 500 ms) and through the engine's own work after the transfer, so four permits carried 2.4 loads a second of the store's 4.5. In the same commit, not yet measured: loads of weights that lie on the server need no permit.

--- a/core/src/main/java/io/nutmegseam/core/backend/Inventory.java
+++ b/core/src/main/java/io/nutmegseam/core/backend/Inventory.java
@@ -1,6 +1,7 @@
 package io.nutmegseam.core.backend;
 
 import java.util.List;
+import java.util.Set;
 
 /**
  * What a model engine has in its accelerator memory.
@@ -9,8 +10,11 @@
  * @param epoch highest fencing number that the engine has seen; 0 if it does not check
  * @param leaving whether the engine says that it is leaving
  * @param items the models and adapters
+ * @param cachedUnits models and adapters whose weights lie on the server, so that a load needs no
+ *     transfer from the weight store
  */
-public record Inventory(String incarnation, long epoch, boolean leaving, List<Item> items) {
+public record Inventory(
+    String incarnation, long epoch, boolean leaving, List<Item> items, Set<String> cachedUnits) {
   /** How far an item is. */
   public enum ItemState {
     /** Its weights are being fetched. */
--- a/core/src/main/java/io/nutmegseam/core/config/PolicyRecord.java
+++ b/core/src/main/java/io/nutmegseam/core/config/PolicyRecord.java
@@ -44,6 +44,13 @@
   /** The name of the one policy record. */
   public static final String NAME = "default";
 
+  private static final double MILLIS_PER_SECOND = 1_000;
+
+  /** Returns the time of one transfer from the weight store at full speed, in milliseconds. */
+  public long transferMillis() {
+    return (long) (MILLIS_PER_SECOND * loadsInParallel / loadsPerSecond);
+  }
+
   @Override
   public RecordKind kind() {
     return RecordKind.POLICY;
--- a/core/src/test/java/io/nutmegseam/core/coldstart/LoadSchedulerTest.java
+++ b/core/src/test/java/io/nutmegseam/core/coldstart/LoadSchedulerTest.java
@@ -182,6 +182,6 @@
   private static MemoryLedger loaded(String... units) {
     List<Item> items =
         java.util.Arrays.stream(units).map(unit -> new Item(unit, ItemState.LOADED, 50)).toList();
-    return MemoryLedger.of(100).settle(new Inventory("e", 0, false, items), 0, 1);
+    return MemoryLedger.of(100).settle(new Inventory("e", 0, false, items, Set.of()), 0, 1);
   }
 }
--- a/core/src/test/java/io/nutmegseam/core/memory/MemoryLedgerTest.java
+++ b/core/src/test/java/io/nutmegseam/core/memory/MemoryLedgerTest.java
@@ -6,6 +6,7 @@
 import io.nutmegseam.core.backend.Inventory.Item;
 import io.nutmegseam.core.backend.Inventory.ItemState;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -90,6 +91,6 @@
   }
 
   private static Inventory inventory(Item... items) {
-    return new Inventory("engine", 0, false, List.of(items));
+    return new Inventory("engine", 0, false, List.of(items), Set.of());
   }
 }
--- a/core/src/test/java/io/nutmegseam/core/ownership/OwnershipWorld.java
+++ b/core/src/test/java/io/nutmegseam/core/ownership/OwnershipWorld.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 
 /**
  * One backend server, its row, its engine and two nodes that run the production state machine.
@@ -194,7 +195,7 @@
   private void readInventory(Node node) {
     List<Item> items = new ArrayList<>();
     loaded.forEach((unit, bytes) -> items.add(new Item(unit, ItemState.LOADED, bytes)));
-    Inventory inventory = new Inventory("engine", fence, false, items);
+    Inventory inventory = new Inventory("engine", fence, false, items, Set.of());
     node.ledger = node.ledger.settle(inventory, nowMillis, SETTLE_MILLIS);
     node.settled = true;
   }
--- a/node/src/main/java/io/nutmegseam/node/control/LoadControl.java
+++ b/node/src/main/java/io/nutmegseam/node/control/LoadControl.java
@@ -53,14 +53,14 @@
   }
 
   /** Gives back the permits that no server wants any more. */
-  void endRound(Collection<OwnedServer> owned) {
+  void endRound(Collection<OwnedServer> owned, PolicyRecord policy) {
     Set<String> loading = new HashSet<>();
     for (OwnedServer server : owned) {
       for (String unit : server.ledger().units(MemoryLedger.State.RESERVED)) {
         loading.add(permitId(server, unit));
       }
     }
-    permits.releaseAll(loading::contains, wantedIds::contains);
+    permits.releaseAll(loading::contains, wantedIds::contains, policy.transferMillis());
   }
 
   /** Gives the orders of one server. */
@@ -167,12 +167,13 @@
         scheduler.wantedLoads(wanted.values(), server.ledger(), context.nowMillis())) {
       Demand demand = want.demand();
       String id = permitId(server, demand.unit());
-      wantedIds.add(id);
-      if (budget) {
+      boolean needsPermit = budget && !server.hasCached(demand.unit());
+      if (needsPermit) {
+        wantedIds.add(id);
         boolean adapter = !wanted.get(demand.unit()).base().isEmpty();
         permits.ask(id, adapter, demand);
       }
-      if (!budget || permits.isGranted(id)) {
+      if (!needsPermit || permits.isGranted(id)) {
         loadNow(server, grounds, wanted.get(demand.unit()), demands.keySet(), scheduler, uses);
       }
     }
@@ -187,9 +188,7 @@
       Map<String, UnitUse> uses) {
     String unit = wanted.demand().unit();
     if (server.orderLoad(order(unit, grounds))) {
-      if (grounds.catalog().policy().storeBudget()) {
-        permits.use(permitId(server, unit));
-      }
+      permits.use(permitId(server, unit));
       return;
     }
     for (OwnerDecision.Unload unload :
--- a/node/src/main/java/io/nutmegseam/node/control/NodeControl.java
+++ b/node/src/main/java/io/nutmegseam/node/control/NodeControl.java
@@ -260,6 +260,7 @@
     connectPeers();
     ownership.review();
     states.greetNewPeers(ownership.owned());
+    ownership.owned().forEach(OwnedServer::pollIfChanging);
     budget.tick();
     publish();
     demand.tick(tables.current());
@@ -303,7 +304,7 @@
     for (OwnedServer server : ownership.owned()) {
       loading.round(server, grounds(server));
     }
-    loading.endRound(ownership.owned());
+    loading.endRound(ownership.owned(), config.catalog().policy());
   }
 
   private LoadControl.Grounds grounds(OwnedServer server) {
--- a/node/src/main/java/io/nutmegseam/node/control/OwnedServer.java
+++ b/node/src/main/java/io/nutmegseam/node/control/OwnedServer.java
@@ -30,6 +30,7 @@
   private boolean polling;
   private boolean reachable;
   private boolean saysLeaving;
+  private Set<String> cachedUnits = Set.of();
   private String engineIncarnation = "";
   private LoadReport report = LoadReport.idle();
   private long sequence;
@@ -78,8 +79,9 @@
     return reachable;
   }
 
-  boolean saysLeaving() {
-    return saysLeaving;
+  /** Returns whether a load of a unit needs no transfer from the weight store. */
+  boolean hasCached(String unit) {
+    return cachedUnits.contains(unit);
   }
 
   /** Forgets the ledger, so that no order is given before an inventory is read. */
@@ -110,6 +112,16 @@
         engineIncarnation);
   }
 
+  /** Reads the inventory at once if it should soon show the outcome of an order. */
+  void pollIfChanging() {
+    boolean changing =
+        !ledger.units(MemoryLedger.State.RESERVED).isEmpty()
+            || !ledger.units(MemoryLedger.State.UNLOADING).isEmpty();
+    if (changing) {
+      poll();
+    }
+  }
+
   /** Reads the inventory and the load report. */
   void poll() {
     if (polling) {
@@ -138,6 +150,7 @@
     ledgerSettled = true;
     report = polled.report();
     saysLeaving = inventory.leaving();
+    cachedUnits = inventory.cachedUnits();
     uses.onReport(report, ledger.units(MemoryLedger.State.LOADED), context.nowMillis());
     noteReachable(true);
     boolean restarted = !engineIncarnation.equals(inventory.incarnation());
--- a/node/src/main/java/io/nutmegseam/node/control/PermitClient.java
+++ b/node/src/main/java/io/nutmegseam/node/control/PermitClient.java
@@ -22,7 +22,12 @@
     void release(String id);
   }
 
-  private record Permit(long askedAtMillis, long grantedAtMillis, boolean granted, boolean used) {}
+  private record Permit(
+      long askedAtMillis, long grantedAtMillis, boolean granted, long usedAtMillis) {
+    boolean isUsed() {
+      return usedAtMillis > 0;
+    }
+  }
 
   PermitClient(NodeContext context, PermitSender sender) {
     this.context = context;
@@ -36,7 +41,7 @@
     boolean fresh =
         known != null && (known.granted() || nowMillis - known.askedAtMillis() < ASK_AGAIN_MILLIS);
     if (!fresh) {
-      permits.put(id, new Permit(nowMillis, 0, false, false));
+      permits.put(id, new Permit(nowMillis, 0, false, 0));
       sender.ask(id, adapter, demand);
     }
   }
@@ -46,31 +51,39 @@
     if (known == null) {
       sender.release(id);
     } else if (!known.granted()) {
-      permits.put(id, new Permit(known.askedAtMillis(), context.nowMillis(), true, false));
+      permits.put(id, new Permit(known.askedAtMillis(), context.nowMillis(), true, 0));
     }
   }
 
   boolean isGranted(String id) {
     Permit known = permits.get(id);
-    return known != null && known.granted() && !known.used();
+    return known != null && known.granted() && !known.isUsed();
   }
 
-  /** Notes that the load of a permit was ordered. */
+  /** Notes that a load was ordered; a load that needed no permit is passed over. */
   void use(String id) {
     Permit known = permits.get(id);
-    permits.put(id, new Permit(known.askedAtMillis(), known.grantedAtMillis(), true, true));
+    if (known == null) {
+      return;
+    }
+    permits.put(
+        id, new Permit(known.askedAtMillis(), known.grantedAtMillis(), true, context.nowMillis()));
   }
 
-  /** Gives back the permits of loads that are done or not wanted any more. */
-  void releaseAll(Predicate<String> isLoading, Predicate<String> isWanted) {
+  /**
+   * Gives back the permits of loads that are done or not wanted any more, and of those that have
+   * had the time of a transfer from the weight store: what an engine does then needs no permit.
+   */
+  void releaseAll(Predicate<String> isLoading, Predicate<String> isWanted, long transferMillis) {
     for (String id : Set.copyOf(permits.keySet())) {
       Permit permit = permits.get(id);
       boolean stale =
           permit.granted()
-              && !permit.used()
+              && !permit.isUsed()
               && context.nowMillis() - permit.grantedAtMillis() > UNUSED_PERMIT_MILLIS;
-      boolean done = permit.used() && !isLoading.test(id);
-      boolean unwanted = !permit.used() && !isWanted.test(id);
+      boolean transferred = context.nowMillis() - permit.usedAtMillis() >= transferMillis;
+      boolean done = permit.isUsed() && (transferred || !isLoading.test(id));
+      boolean unwanted = !permit.isUsed() && !isWanted.test(id);
       if (stale || done || unwanted) {
         permits.remove(id);
         sender.release(id);
--- a/standin/src/main/java/io/nutmegseam/standin/engine/EngineMemory.java
+++ b/standin/src/main/java/io/nutmegseam/standin/engine/EngineMemory.java
@@ -105,6 +105,10 @@
     return cached.contains(unit);
   }
 
+  synchronized Set<String> cachedUnits() {
+    return Set.copyOf(cached);
+  }
+
   synchronized List<Inventory.Item> items() {
     List<Inventory.Item> items = new ArrayList<>();
     slots.forEach(
--- a/standin/src/main/java/io/nutmegseam/standin/engine/EngineStandin.java
+++ b/standin/src/main/java/io/nutmegseam/standin/engine/EngineStandin.java
@@ -77,7 +77,7 @@
 
   /** Returns what is in memory. */
   public synchronized Inventory inventory() {
-    return new Inventory(incarnation, epoch, leaving, memory.items());
+    return new Inventory(incarnation, epoch, leaving, memory.items(), memory.cachedUnits());
   }
 
   /** Returns the number of orders refused for an old fencing number. */
