--- a/core/src/main/java/io/nutmegseam/core/memory/MemoryLedger.java
+++ b/core/src/main/java/io/nutmegseam/core/memory/MemoryLedger.java
@@ -70,16 +70,18 @@
   }
 
   /**
-   * Notes that an unload is ordered. The memory stays taken.
+   * Notes that an unload is ordered. The memory stays taken. A unit whose load may still arrive
+   * stays reserved, since its unload could be overtaken by its load.
    *
    * @param unit the model or adapter
    * @param nowMillis monotonic time of the order
    */
   public MemoryLedger unloading(String unit, long nowMillis) {
     Entry entry = entries.get(unit);
-    return entry == null
-        ? this
-        : with(unit, new Entry(entry.memoryBytes(), State.UNLOADING, nowMillis));
+    if (entry == null || entry.state() == State.RESERVED) {
+      return this;
+    }
+    return with(unit, new Entry(entry.memoryBytes(), State.UNLOADING, nowMillis));
   }
 
   /**
--- a/node/src/test/java/io/nutmegseam/node/command/CommandLineTest.java
+++ b/node/src/test/java/io/nutmegseam/node/command/CommandLineTest.java
@@ -53,7 +53,7 @@
       assertThat(status).isEqualTo(ExitStatus.USAGE);
       assertThat(text(out))
           .contains(":1:55: \"callerAddress\" is \"nowhere\", not host:port")
-          .contains(":3:64: \"renewMillis\" is 90, more than half of \"leaseMillis\" 100");
+          .contains(":3:63: \"renewMillis\" is 90, more than half of \"leaseMillis\" 100");
     }
   }
 
