Ports of tests lie below the connections' range; a crash known before dispatch strikes nobody

Causes: a node's port was taken by a connection before it listened (one start in 50 failed); an innocent request sent to a server that had already crashed was struck. A node that can't listen says so and ends with status 2 instead of a trace.

--- a/core/src/main/java/io/nutmegseam/core/retry/StrikeBook.java
+++ b/core/src/main/java/io/nutmegseam/core/retry/StrikeBook.java
@@ -53,4 +53,9 @@
             .filter(atMillis -> atMillis + retentionMillis > nowMillis)
             .count();
   }
+
+  /** Returns whether a crash is known, so that a request sent later did not cause it. */
+  public boolean knowsCrash(String crash) {
+    return crashesByFingerprint.values().stream().anyMatch(known -> known.containsKey(crash));
+  }
 }
--- a/core/src/test/java/io/nutmegseam/core/routing/RoutingTest.java
+++ b/core/src/test/java/io/nutmegseam/core/routing/RoutingTest.java
@@ -150,6 +150,18 @@
       assertThat(allowed).isBetween(100, 111);
     }
 
+    @Test
+    void should_know_a_crash_that_came_before_a_request() {
+      // GIVEN
+      StrikeBook book = StrikeBook.of(100).strike("f", "s@1", 0);
+      // WHEN
+      boolean known = book.knowsCrash("s@1");
+      boolean later = book.knowsCrash("s@2");
+      // THEN
+      assertThat(known).isTrue();
+      assertThat(later).isFalse();
+    }
+
     @Test
     void should_count_one_crash_once_and_forget_it_after_its_time() {
       // GIVEN
--- a/node/src/main/java/io/nutmegseam/node/caller/RouteFilter.java
+++ b/node/src/main/java/io/nutmegseam/node/caller/RouteFilter.java
@@ -119,6 +119,7 @@
     while (true) {
       BackendServerRecord target = choose(call, tried);
       String incarnation = incarnation(target);
+      boolean crashedBefore = strikes.knowsCrash(crash(target, incarnation));
       loads.begin(target.name());
       try {
         Answered answered = dispatch.run(call.at(target, attempt), sink);
@@ -128,7 +129,9 @@
         if (loads.outcome(target.name(), failure.reason().provedNotRun())) {
           events.record(EventKind.SERVER_EJECTED, target.name(), failure.getMessage());
         }
-        noteCrash(call, target, incarnation, failure, policy);
+        if (!crashedBefore) {
+          noteCrash(call, target, incarnation, failure, policy);
+        }
         tried = tried.with(target.name(), failure.reason().provedNotRun());
         checkRepeat(call, sink, failure, tried);
         attempt++;
@@ -177,7 +180,7 @@
       throws ServeException {
     boolean lost = failure.reason().outcome() == BackendException.Outcome.CONNECTION_LOST;
     if (call.isCompletion() && lost && crashProbe.isGone(target, incarnation)) {
-      strikes.strike(call.fingerprint(), target.name() + "@" + incarnation);
+      strikes.strike(call.fingerprint(), crash(target, incarnation));
       int known = strikes.strikes(call.fingerprint());
       if (known >= policy.maxStrikes()) {
         throw Refusals.repeatedCrash(call, known);
@@ -185,6 +188,10 @@
     }
   }
 
+  private static String crash(BackendServerRecord target, String incarnation) {
+    return target.name() + "@" + incarnation;
+  }
+
   private String incarnation(BackendServerRecord target) {
     return tables.current().view(target.name()).map(view -> view.engineIncarnation()).orElse("");
   }
--- a/node/src/main/java/io/nutmegseam/node/command/CommandLine.java
+++ b/node/src/main/java/io/nutmegseam/node/command/CommandLine.java
@@ -87,8 +87,12 @@
       return ExitStatus.USAGE;
     }
     NodeDaemon daemon = new NodeDaemon(settings.get());
+    try {
+      daemon.start();
+    } catch (RuntimeException e) {
+      throw new CommandException(ExitStatus.USAGE, "the node can't start: " + rootCause(e));
+    }
     Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(daemon), "shutdown"));
-    daemon.start();
     try {
       Thread.currentThread().join();
     } catch (InterruptedException e) {
@@ -97,6 +101,14 @@
     return ExitStatus.OK;
   }
 
+  private static String rootCause(Throwable failure) {
+    Throwable cause = failure;
+    while (cause.getCause() != null) {
+      cause = cause.getCause();
+    }
+    return String.valueOf(cause.getMessage());
+  }
+
   /** Ends the process with status 0 once the node has stopped, also after a signal. */
   private static void shutDown(NodeDaemon daemon) {
     daemon.stop();
--- a/node/src/main/java/io/nutmegseam/node/control/StrikeControl.java
+++ b/node/src/main/java/io/nutmegseam/node/control/StrikeControl.java
@@ -53,6 +53,11 @@
     return book.get().strikes(fingerprint, clock.millis());
   }
 
+  /** Returns whether a crash is known, so that a request sent later did not cause it. */
+  public boolean knowsCrash(String crash) {
+    return book.get().knowsCrash(crash);
+  }
+
   void onNotice(StrikeNotice notice) {
     take(notice.getFingerprint(), notice.getCrash());
   }
--- a/node/src/main/java/io/nutmegseam/node/daemon/NodeDaemon.java
+++ b/node/src/main/java/io/nutmegseam/node/daemon/NodeDaemon.java
@@ -152,14 +152,21 @@
     thread.every(STOP_POLL_MILLIS, control::leave);
     await(() -> !control.holdsServers(), RELEASE_MILLIS);
     events.record(EventKind.NODE_STOPPED, settings.node(), accept.inFlight() + " cut");
-    callerServer.close();
-    operatorServer.close();
+    close(callerServer);
+    close(operatorServer);
     network.close();
     commits.close();
     thread.close();
     clients.close();
   }
 
+  /** Closes a server, unless the node stops before it was started. */
+  private static void close(WebServer server) {
+    if (server != null) {
+      server.close();
+    }
+  }
+
   private Filter path(Supplier<Catalog> catalog) {
     Filter record = new RecordFilter(events, metrics, monotonic);
     Filter admit = new AdmitFilter(tables, waits, monotonic);
--- a/node/src/main/java/io/nutmegseam/node/peer/PeerNetwork.java
+++ b/node/src/main/java/io/nutmegseam/node/peer/PeerNetwork.java
@@ -89,13 +89,17 @@
    * @param address the listening address
    */
   public void listen(HostPort address) {
-    new ServerBootstrap()
-        .group(loops)
-        .channel(NioServerSocketChannel.class)
-        .childOption(ChannelOption.TCP_NODELAY, true)
-        .childHandler(new Initializer(true))
-        .bind(address.host(), address.port())
-        .syncUninterruptibly();
+    ChannelFuture bound =
+        new ServerBootstrap()
+            .group(loops)
+            .channel(NioServerSocketChannel.class)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(new Initializer(true))
+            .bind(address.host(), address.port())
+            .awaitUninterruptibly();
+    if (!bound.isSuccess()) {
+      throw new IllegalStateException("can't listen on " + address, bound.cause());
+    }
   }
 
   /**
--- a/standin/src/main/java/io/nutmegseam/standin/Standin.java
+++ b/standin/src/main/java/io/nutmegseam/standin/Standin.java
@@ -1,5 +1,6 @@
 package io.nutmegseam.standin;
 
+import io.nutmegseam.standin.http.FreePorts;
 import io.nutmegseam.standin.measure.Deployment;
 import io.nutmegseam.standin.measure.Fit;
 import io.nutmegseam.standin.measure.Measurement;
@@ -28,8 +29,8 @@
   /**
    * Runs one command.
    *
-   * @param args {@code run}, {@code plan}, {@code drive}, {@code report} or {@code fit} and their
-   *     options
+   * @param args {@code run}, {@code plan}, {@code drive}, {@code report}, {@code fit} or {@code
+   *     ports} and their options
    */
   public static void main(String[] args) throws IOException, InterruptedException {
     ArgumentParser parser = parser();
@@ -51,6 +52,7 @@
       case "drive" -> drive(arguments);
       case "report" -> report(arguments);
       case "fit" -> fit(arguments);
+      case "ports" -> FreePorts.find(arguments.getInt("count")).forEach(System.out::println);
       default -> run(arguments);
     }
   }
@@ -69,6 +71,7 @@
     Subparser report = commands.addParser("report");
     report.addArgument("--html").setDefault("");
     report.addArgument("folders").nargs("+");
+    commands.addParser("ports").addArgument("count").type(Integer.class);
     Subparser fit = commands.addParser("fit");
     fit.addArgument("--sizes").nargs("+").type(Double.class).required(true);
     fit.addArgument("--folders").nargs("+").required(true);
--- a/standin/src/main/java/io/nutmegseam/standin/measure/Plan.java
+++ b/standin/src/main/java/io/nutmegseam/standin/measure/Plan.java
@@ -3,9 +3,8 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.nutmegseam.standin.http.Exchange;
+import io.nutmegseam.standin.http.FreePorts;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -39,7 +38,7 @@
   public static void write(Deployment deployment, boolean naive, long seed, Path folder)
       throws IOException {
     int count = 1 + deployment.engines() + deployment.services() + 3 * deployment.nodes();
-    List<Integer> ports = freePorts(count);
+    List<Integer> ports = FreePorts.find(count);
     int next = 0;
     final int platformPort = ports.get(next++);
     List<Integer> enginePorts = ports.subList(next, next += deployment.engines());
@@ -129,18 +128,4 @@
       throws IOException {
     Files.writeString(file, node.toPrettyString());
   }
-
-  private static List<Integer> freePorts(int count) throws IOException {
-    List<ServerSocket> open = new ArrayList<>();
-    List<Integer> ports = new ArrayList<>();
-    for (int i = 0; i < count; i++) {
-      ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-      open.add(socket);
-      ports.add(socket.getLocalPort());
-    }
-    for (ServerSocket socket : open) {
-      socket.close();
-    }
-    return ports;
-  }
 }
--- a/standin/src/test/java/io/nutmegseam/standin/process/Cluster.java
+++ b/standin/src/test/java/io/nutmegseam/standin/process/Cluster.java
@@ -5,12 +5,11 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.nutmegseam.standin.engine.EngineProfile;
 import io.nutmegseam.standin.engine.EngineStandin;
+import io.nutmegseam.standin.http.FreePorts;
 import io.nutmegseam.standin.platform.PlatformStandin;
 import io.nutmegseam.standin.platform.WeightStore;
 import io.nutmegseam.standin.service.ServiceStandin;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Clock;
@@ -109,10 +108,10 @@
 
   Cluster node(String name, String dataCentre, String... seeds) {
     try {
-      int[] ports = freePorts(3);
+      List<Integer> ports = FreePorts.find(3);
       CuttableLink toPlatform =
           new CuttableLink(Integer.parseInt(platform.address().replaceAll(".*:", "")));
-      CuttableLink toPeer = new CuttableLink(ports[2]);
+      CuttableLink toPeer = new CuttableLink(ports.get(2));
       platformLinks.put(name, toPlatform);
       peerLinks.put(name, toPeer);
       List<String> addresses = new ArrayList<>();
@@ -130,9 +129,9 @@
                   name,
                   name,
                   dataCentre,
-                  ports[0],
-                  ports[1],
-                  ports[2],
+                  ports.get(0),
+                  ports.get(1),
+                  ports.get(2),
                   toPeer.port(),
                   toPlatform.port(),
                   addresses);
@@ -140,7 +139,8 @@
       Files.writeString(file, settings.replace('\'', '"'));
       nodes.put(
           name,
-          new NodeProcess(name, file, folder.resolve(name + ".log"), ports[0], ports[1], ports[2]));
+          new NodeProcess(
+              name, file, folder.resolve(name + ".log"), ports.get(0), ports.get(1), ports.get(2)));
       return this;
     } catch (IOException e) {
       throw new AssertionError(e);
@@ -301,20 +301,6 @@
     return text.toString();
   }
 
-  private static int[] freePorts(int count) throws IOException {
-    List<ServerSocket> open = new ArrayList<>();
-    int[] ports = new int[count];
-    for (int i = 0; i < count; i++) {
-      ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-      open.add(socket);
-      ports[i] = socket.getLocalPort();
-    }
-    for (ServerSocket socket : open) {
-      socket.close();
-    }
-    return ports;
-  }
-
   @Override
   public void close() {
     invariants.stop();
