--- a/standin/src/test/java/io/nutmegseam/standin/process/Cluster.java
+++ b/standin/src/test/java/io/nutmegseam/standin/process/Cluster.java
@@ -149,12 +149,21 @@
 
   /** Starts the nodes, applies the records and waits until every engine is owned and placed. */
   Cluster start() {
+    try {
+      startAll();
+      return this;
+    } catch (RuntimeException | Error e) {
+      close();
+      throw e;
+    }
+  }
+
+  private void startAll() {
     nodes.values().forEach(NodeProcess::start);
     nodes.keySet().forEach(this::awaitReady);
     apply("[" + String.join(",", records) + "]");
     nodes.keySet().forEach(this::awaitSettled);
     invariants.start();
-    return this;
   }
 
   /** Waits until a node sees every engine, every placement and every other node. */
