A suspected request waits for its turn no longer than its deadline

Cause: found by reading. Suspects waited on a monitor without a deadline, so one behind a slow cold start could be answered too late. Ruled out: the waiting for a backend server, which is bounded already. Now the wait ends at the deadline with expired-in-queue, not run.

--- a/node/src/main/java/io/nutmegseam/node/caller/RouteFilter.java
+++ b/node/src/main/java/io/nutmegseam/node/caller/RouteFilter.java
@@ -28,7 +28,7 @@
   private final CrashProbe crashProbe;
   private final Clock monotonic;
   private final EventSink events;
-  private final Object quarantine = new Object();
+  private final Quarantine quarantine = new Quarantine();
 
   /** Names the crash of a server, if the server has died since a request was sent to it. */
   @FunctionalInterface
@@ -104,12 +104,22 @@
     if (known >= policy.maxStrikes()) {
       throw Refusals.repeatedCrash(call, known);
     }
-    if (known > 0) {
-      synchronized (quarantine) {
-        return attempts(call, sink, dispatch, policy);
-      }
+    return known > 0
+        ? quarantined(call, sink, dispatch, policy)
+        : attempts(call, sink, dispatch, policy);
+  }
+
+  private Answered quarantined(Call call, AnswerSink sink, Dispatch dispatch, PolicyRecord policy)
+      throws ServeException {
+    long startedMillis = monotonic.millis();
+    if (!quarantine.tryEnter(call.deadlineMillis() - startedMillis)) {
+      throw Refusals.expiredInQueue(call, monotonic.millis() - startedMillis);
+    }
+    try {
+      return attempts(call, sink, dispatch, policy);
+    } finally {
+      quarantine.leave();
     }
-    return attempts(call, sink, dispatch, policy);
   }
 
   private Answered attempts(Call call, AnswerSink sink, Dispatch dispatch, PolicyRecord policy)
--- a/node/src/main/java/io/nutmegseam/node/control/OwnedServer.java
+++ b/node/src/main/java/io/nutmegseam/node/control/OwnedServer.java
@@ -261,7 +261,7 @@
     changed();
   }
 
-  /** Tells the peers again what is known, ahead of what a stand-by observer told them. */
+  /** Tells the peers again what is known, ahead of what another observer told them. */
   void announce() {
     changed();
   }
