Order counts come from reports: an entry's number counts its writes

Cause: every order was refused with 409, since the entry's counter numbers its own writes. Change: a server gets its first order only after its report was read; what the holder has read goes before announcements.

--- a/core/src/main/java/io/nutmegseam/core/fleet/Inventory.java
+++ b/core/src/main/java/io/nutmegseam/core/fleet/Inventory.java
@@ -6,7 +6,8 @@
 /**
  * What a server holds.
  *
- * @param orderCount number of orders that the server has accepted
+ * @param orderCount number of orders that the server has accepted; {@link #UNKNOWN_COUNT} where
+ *     only the server's announcement has been read, which does not tell
  * @param busy whether an order is under way
  * @param adaptersByModel loaded models, each with its loaded adapters
  * @param inHostMemory models whose weights lie in the server's host memory
@@ -18,6 +19,9 @@
     Map<String, Set<String>> adaptersByModel,
     Set<String> inHostMemory,
     Set<String> onDisk) {
+  /** The order count of an inventory that was read from an announcement. */
+  public static final long UNKNOWN_COUNT = -1;
+
   /** Returns whether a model, and the adapter if one is named, is loaded. */
   public boolean holds(ModelRef ref) {
     Set<String> adapters = adaptersByModel.get(ref.model());
--- a/core/src/main/java/io/nutmegseam/core/fleet/ServerEntry.java
+++ b/core/src/main/java/io/nutmegseam/core/fleet/ServerEntry.java
@@ -26,6 +26,11 @@
     return new ServerEntry(incarnation, service, host, port, dataCentre, slots, draining, next);
   }
 
+  /** Returns a copy that gets no new work. */
+  public ServerEntry asDraining() {
+    return new ServerEntry(incarnation, service, host, port, dataCentre, slots, true, inventory);
+  }
+
   /** Returns the address, as {@code host:port}. */
   public String address() {
     return host + ":" + port;
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
@@ -147,7 +147,7 @@
         headers,
         board,
         pools,
-        new ServerChooser(settings.dataCentre(), loads, ThreadLocalRandom.current()),
+        new ServerChooser(settings.dataCentre(), loads, ThreadLocalRandom.current(), clock),
         loads,
         new RetryAllowance(
             settings.retryRatio(),
--- a/node/src/main/java/io/nutmegseam/node/gateway/OrderControl.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/OrderControl.java
@@ -34,6 +34,9 @@
 
   private static final long REPORT_MILLIS = 150;
 
+  /** Time between questions to a server that has not been seen yet. */
+  private static final long FIRST_REPORT_MILLIS = 1_000;
+
   /** A load that has not shown after this multiple of its time is given up. */
   private static final int OVERDUE_FACTOR = 4;
 
@@ -52,6 +55,7 @@
   private final Map<String, SwapPlanner> plannerByService = new HashMap<>();
   private final Map<Incarnation, Pending> pendingByServer = new HashMap<>();
   private final Map<Incarnation, Inventory> seen = new HashMap<>();
+  private final Map<Incarnation, Long> askedFirstAtMillis = new HashMap<>();
   private long fence = -1;
 
   /** An order that has not been seen to be done. */
@@ -120,6 +124,7 @@
     Fleet fleet = board.fleet();
     pendingByServer.keySet().removeIf(server -> !fleet.isCurrent(server));
     seen.keySet().removeIf(server -> !fleet.isCurrent(server));
+    askedFirstAtMillis.keySet().removeIf(server -> !fleet.isCurrent(server));
     pendingByServer.forEach(this::watch);
     Map<ModelRef, Long> expectations = new HashMap<>();
     GatewayConfig config = board.config().orElseThrow();
@@ -133,6 +138,7 @@
     fence = -1;
     pendingByServer.clear();
     seen.clear();
+    askedFirstAtMillis.clear();
     plannerByService.values().forEach(SwapPlanner::reset);
   }
 
@@ -160,16 +166,39 @@
   private ServerWork work(ServerEntry entry) {
     Pending pending = pendingByServer.get(entry.incarnation());
     ServerEntry current = entry.with(newest(entry));
+    if (pending == null && !seen.containsKey(entry.incarnation())) {
+      askFirst(entry);
+      return new ServerWork(current.asDraining(), Optional.empty(), 0);
+    }
     return pending == null
         ? new ServerWork(current, Optional.empty(), 0)
         : new ServerWork(current, Optional.of(pending.order), pending.dueMillis);
   }
 
-  /** Returns the newer of the store's entry and what this node has read from the server. */
+  /** Asks a server for its order count, without which it takes no orders. */
+  private void askFirst(ServerEntry entry) {
+    Incarnation server = entry.incarnation();
+    long nowMillis = clock.millis();
+    if (askedFirstAtMillis.getOrDefault(server, 0L) + FIRST_REPORT_MILLIS > nowMillis) {
+      return;
+    }
+    askedFirstAtMillis.put(server, nowMillis);
+    orders
+        .inventory(entry)
+        .whenComplete(
+            (inventory, e) ->
+                thread.execute(
+                    () -> {
+                      if (e == null && fence >= 0) {
+                        seen.putIfAbsent(server, withCopies(server, inventory));
+                      }
+                    }));
+  }
+
+  /** Returns what this node has read from a server, or else the server's announcement. */
   private Inventory newest(ServerEntry entry) {
     Inventory own = seen.get(entry.incarnation());
-    boolean newer = own != null && own.orderCount() >= entry.inventory().orderCount();
-    return newer ? own : entry.inventory();
+    return own == null ? entry.inventory() : own;
   }
 
   private void send(ModelOrder order, EngineSpec engine, ServerEntry entry) {
--- a/node/src/main/java/io/nutmegseam/node/gateway/ServerChooser.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/ServerChooser.java
@@ -4,6 +4,7 @@
 import io.nutmegseam.core.fleet.ModelRef;
 import io.nutmegseam.core.fleet.ServerEntry;
 import io.nutmegseam.core.routing.Rendezvous;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -24,8 +25,12 @@
   private final String dataCentre;
   private final ServerLoads loads;
   private final RandomGenerator random;
+  private final InstantSource clock;
 
-  /** Models that a server has denied to hold, with the order count of the denied entry. */
+  /** A model that a server denies to hold is not asked of it for this time. */
+  private static final long DENIED_MILLIS = 1_000;
+
+  /** Models that a server has denied to hold, with the time until which it is not asked again. */
   private final Map<String, Map<ModelRef, Long>> deniedByServer = new HashMap<>();
 
   /**
@@ -44,18 +49,20 @@
    * @param dataCentre the node's data centre
    * @param loads load of the servers
    * @param random source of random choices
+   * @param clock monotonic clock
    */
-  ServerChooser(String dataCentre, ServerLoads loads, RandomGenerator random) {
+  ServerChooser(String dataCentre, ServerLoads loads, RandomGenerator random, InstantSource clock) {
     this.dataCentre = dataCentre;
     this.loads = loads;
     this.random = random;
+    this.clock = clock;
   }
 
   /** Notes that a server does not hold a model although its entry says so. */
   void onDenied(ServerEntry entry, ModelRef ref) {
     deniedByServer
         .computeIfAbsent(entry.incarnation().toString(), s -> new HashMap<>())
-        .put(ref, entry.inventory().orderCount());
+        .put(ref, clock.millis() + DENIED_MILLIS);
   }
 
   /** Returns the servers that hold what a request needs, whether or not they have been tried. */
@@ -106,7 +113,7 @@
       return false;
     }
     Map<ModelRef, Long> denied = deniedByServer.get(entry.incarnation().toString());
-    Long deniedAtCount = denied == null ? null : denied.get(ref);
-    return deniedAtCount == null || deniedAtCount != entry.inventory().orderCount();
+    Long untilMillis = denied == null ? null : denied.get(ref);
+    return untilMillis == null || untilMillis <= clock.millis();
   }
 }
--- a/node/src/main/java/io/nutmegseam/node/gateway/ServerConnection.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/ServerConnection.java
@@ -47,7 +47,8 @@
    * @param body its body
    * @param id id that the answer must echo; empty if answers carry none
    */
-  record Outbound(HttpMethod method, String target, HttpHeaders headers, ByteString body, String id) {}
+  record Outbound(
+      HttpMethod method, String target, HttpHeaders headers, ByteString body, String id) {}
 
   /**
    * Creates the handler of a connection.
@@ -216,8 +217,6 @@
     }
     boolean readable = end > start && end - start <= MAX_TIMEOUT_DIGITS;
     // An unreadable limit is treated as the shortest one: the connection is not reused.
-    return readable
-        ? Long.parseLong(keepAliveHeader.substring(start, end)) * MILLIS_PER_SECOND
-        : 0;
+    return readable ? Long.parseLong(keepAliveHeader.substring(start, end)) * MILLIS_PER_SECOND : 0;
   }
 }
