Orders are followed by a tracker a server; requests wait no longer than their callers

(2) LOST: a stopping node still accepted connections after 7 s. (3) Slow swaps: each order waited for a report that lags, and hot models took replicas they did not need. (4) Requests waited for models beyond the time after which callers leave.

--- a/core/src/main/java/io/nutmegseam/core/gateway/Route.java
+++ b/core/src/main/java/io/nutmegseam/core/gateway/Route.java
@@ -12,6 +12,8 @@
  * @param resumable whether a stream may go on at another server after its last event
  * @param timeoutMillis longest time that a caller is kept waiting, in milliseconds
  * @param targetLatencyMillis time within which an answer is worth most, in milliseconds
+ * @param maxSilenceMillis time without a byte of the answer after which callers leave, in
+ *     milliseconds
  * @param priority rank among the routes; 0 is the most urgent
  * @param maxAttempts most servers on which one request may run
  * @param shares the services that take the requests; at least one
@@ -24,6 +26,7 @@
     boolean resumable,
     long timeoutMillis,
     long targetLatencyMillis,
+    long maxSilenceMillis,
     int priority,
     int maxAttempts,
     List<ServiceShare> shares) {
--- a/core/src/main/java/io/nutmegseam/core/orders/MemoryUse.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/MemoryUse.java
@@ -17,6 +17,8 @@
       ModelOrder order = server.pending().get();
       if (order.operation() == ModelOrder.Operation.LOAD) {
         used += neededMegabytes(engine, order);
+      } else if (server.followable()) {
+        used -= unloadedMegabytes(engine, server, order);
       }
     }
     return engine.weightsMegabytes() - used;
@@ -40,6 +42,12 @@
         : spec.weightsMegabytes() + adapters * spec.adapterMegabytes();
   }
 
+  private static double unloadedMegabytes(EngineSpec engine, ServerWork server, ModelOrder order) {
+    String model = order.ref().model();
+    Set<String> adapters = server.entry().inventory().adaptersByModel().get(model);
+    return adapters == null ? 0 : heldMegabytes(engine, model, adapters.size());
+  }
+
   private static double usedMegabytes(EngineSpec engine, Inventory inventory) {
     double used = 0;
     for (Map.Entry<String, Set<String>> held : inventory.adaptersByModel().entrySet()) {
--- a/core/src/main/java/io/nutmegseam/core/orders/ReplicaGoal.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/ReplicaGoal.java
@@ -2,8 +2,11 @@
 
 /** Decides on how many servers a model should be loaded. */
 final class ReplicaGoal {
-  /** Requests a second that one server answers within their target beside its other models. */
-  private static final double RATE_PER_REPLICA = 6;
+  /** Requests a second for each slot of a server that still meet their target. */
+  private static final double RATE_PER_SLOT = 0.5;
+
+  /** Reading prompts limits a server with many slots to this many requests a second. */
+  private static final double MAX_RATE_PER_REPLICA = 14;
 
   /** A model with less demand is not worth a second replica. */
   private static final double MIN_RATE_FOR_MORE = 4;
@@ -13,18 +16,27 @@
 
   private ReplicaGoal() {}
 
-  /** Returns the number of replicas that demand asks for. */
-  static int wanted(double ratePerSecond) {
+  /**
+   * Returns the number of replicas that demand asks for; a model in demand has two at least, so
+   * that the loss of a server does not stop it.
+   *
+   * @param ratePerSecond requests a second
+   * @param slots requests that a server runs at once
+   */
+  static int wanted(double ratePerSecond, int slots) {
     return ratePerSecond < MIN_RATE_FOR_MORE
         ? 1
-        : (int) Math.ceil(ratePerSecond / RATE_PER_REPLICA);
+        : Math.max(2, (int) Math.ceil(ratePerSecond / ratePerReplica(slots)));
   }
 
   /** Returns the number of replicas below which none is given up. */
-  static int kept(double ratePerSecond) {
-    if (ratePerSecond < MIN_RATE_FOR_MORE * KEEP_FACTOR) {
-      return 1;
-    }
-    return (int) Math.ceil(ratePerSecond / RATE_PER_REPLICA * KEEP_FACTOR);
+  static int kept(double ratePerSecond, int slots) {
+    return ratePerSecond < MIN_RATE_FOR_MORE * KEEP_FACTOR
+        ? 1
+        : Math.max(2, (int) Math.ceil(ratePerSecond * KEEP_FACTOR / ratePerReplica(slots)));
+  }
+
+  private static double ratePerReplica(int slots) {
+    return Math.max(1, Math.min(MAX_RATE_PER_REPLICA, slots * RATE_PER_SLOT));
   }
 }
--- a/core/src/main/java/io/nutmegseam/core/orders/ServerWork.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/ServerWork.java
@@ -9,8 +9,10 @@
  * @param entry what the server holds
  * @param pending the order that has not been seen to be done; empty if there is none
  * @param pendingUntilMillis monotonic time at which the pending order should be done
+ * @param followable whether the next order may be sent before the pending one is seen to be done
  */
-public record ServerWork(ServerEntry entry, Optional<ModelOrder> pending, long pendingUntilMillis) {
+public record ServerWork(
+    ServerEntry entry, Optional<ModelOrder> pending, long pendingUntilMillis, boolean followable) {
   /** Returns the server's id. */
   public String id() {
     return entry.incarnation().id();
@@ -21,6 +23,11 @@
     return pending.isEmpty() && !entry.draining() && !entry.inventory().busy();
   }
 
+  /** Returns whether the next order of a swap can be sent now. */
+  boolean canGoOn() {
+    return !entry.draining() && (followable || isFree());
+  }
+
   /** Returns whether a load of a model is under way. */
   boolean isLoading(String model) {
     return pending
--- a/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
@@ -112,7 +112,7 @@
       List<String> wanting = new ArrayList<>();
       for (String model : view.engine().models().keySet()) {
         double ratePerSecond = view.totalDemand(model).ratePerSecond();
-        if (view.replicas(model) < ReplicaGoal.wanted(ratePerSecond)) {
+        if (view.replicas(model) < ReplicaGoal.wanted(ratePerSecond, view.engine().slots())) {
           wanting.add(model);
         }
       }
@@ -123,13 +123,13 @@
       wanting.forEach(this::place);
     }
 
-    /** Spends what is left of the weight store on models that no server has a copy of. */
+    /**
+     * Spends what is left of the weight store on models that no server has a copy of, in the order
+     * in which the configuration lists them.
+     */
     private void placeUnseen() {
       List<String> unseen =
-          view.engine().models().keySet().stream()
-              .filter(model -> !view.hasCopy(model))
-              .sorted()
-              .toList();
+          view.engine().models().keySet().stream().filter(model -> !view.hasCopy(model)).toList();
       for (String model : unseen) {
         if (storeLoadsLeft > 0) {
           place(model);
@@ -192,7 +192,7 @@
       plans.forEach(
           (model, id) -> {
             ServerWork server = server(id).orElseThrow();
-            if (server.isFree()) {
+            if (server.canGoOn()) {
               step(model, server);
             }
           });
--- a/core/src/main/java/io/nutmegseam/core/orders/VictimChooser.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/VictimChooser.java
@@ -17,7 +17,8 @@
    */
   static Optional<String> choose(SwapView view, ServerWork server, String forModel) {
     return server.entry().inventory().adaptersByModel().keySet().stream()
-        .filter(model -> !model.equals(forModel) && mayGo(view, model))
+        .filter(model -> !model.equals(forModel) && !server.isUnloading(model))
+        .filter(model -> mayGo(view, model))
         .min(
             Comparator.<String>comparingDouble(model -> lossPerSecond(view, server, model))
                 .thenComparing(Comparator.naturalOrder()));
@@ -27,7 +28,8 @@
   static double evictableMegabytes(SwapView view, ServerWork server, String forModel) {
     double total = 0;
     for (var held : server.entry().inventory().adaptersByModel().entrySet()) {
-      if (!held.getKey().equals(forModel) && mayGo(view, held.getKey())) {
+      boolean other = !held.getKey().equals(forModel) && !server.isUnloading(held.getKey());
+      if (other && mayGo(view, held.getKey())) {
         total += MemoryUse.heldMegabytes(view.engine(), held.getKey(), held.getValue().size());
       }
     }
@@ -38,7 +40,7 @@
   private static boolean mayGo(SwapView view, String model) {
     ModelDemand demand = view.totalDemand(model);
     long replicas = view.servers().stream().filter(s -> s.serves(model)).count();
-    boolean spare = replicas > ReplicaGoal.kept(demand.ratePerSecond());
+    boolean spare = replicas > ReplicaGoal.kept(demand.ratePerSecond(), view.engine().slots());
     return demand.waiting() == 0 && (spare || demand.ratePerSecond() < 1);
   }
 
--- /dev/null
+++ b/core/src/test/java/io/nutmegseam/core/orders/Fleets.java
@@ -0,0 +1,55 @@
+package io.nutmegseam.core.orders;
+
+import io.nutmegseam.core.fleet.Incarnation;
+import io.nutmegseam.core.fleet.Inventory;
+import io.nutmegseam.core.fleet.ModelRef;
+import io.nutmegseam.core.fleet.ServerEntry;
+import io.nutmegseam.core.gateway.EngineSpec;
+import io.nutmegseam.core.gateway.ModelSpec;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** Makes engines, servers and demand for tests. */
+final class Fleets {
+  static final double SERVER_MEGABYTES = 200_000;
+  static final double MODEL_MEGABYTES = 70_000;
+
+  private Fleets() {}
+
+  static EngineSpec engine(String... models) {
+    Map<String, ModelSpec> specs = new LinkedHashMap<>();
+    for (String model : models) {
+      specs.put(model, new ModelSpec(model, MODEL_MEGABYTES, 6_000, 800, 400, 10, 66));
+    }
+    return new EngineSpec(32, 200_000, SERVER_MEGABYTES, 8, 7, specs);
+  }
+
+  static ServerWork server(String id, Set<String> loaded, Set<String> onDisk) {
+    Map<String, Set<String>> adapters = new LinkedHashMap<>();
+    loaded.stream().sorted().forEach(model -> adapters.put(model, Set.of()));
+    return new ServerWork(
+        entry(id, new Inventory(1, false, adapters, Set.of(), onDisk), false),
+        Optional.empty(),
+        0,
+        false);
+  }
+
+  static ServerEntry entry(String id, Inventory inventory, boolean draining) {
+    return new ServerEntry(
+        new Incarnation(id, 1), "llm", "127.0.0.1", 1, "dc", 32, draining, inventory);
+  }
+
+  static ModelRef ref(String model) {
+    return new ModelRef(model, "");
+  }
+
+  static ModelDemand waiting(int count, long deadlineMillis) {
+    return new ModelDemand(count, deadlineMillis, 0.1);
+  }
+
+  static ModelDemand rate(double perSecond) {
+    return new ModelDemand(0, Long.MAX_VALUE, perSecond);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/io/nutmegseam/core/orders/OrderLeaseTest.java
@@ -0,0 +1,106 @@
+package io.nutmegseam.core.orders;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class OrderLeaseTest {
+  private static final OrderLease.Timing TIMING = new OrderLease.Timing(5_000, 1_000, 1_000, 3_300);
+
+  @Nested
+  class Taking {
+    @Test
+    void should_not_take_a_lease_before_the_row_was_read() {
+      assertThat(OrderLease.unread("me", TIMING).next(60_000)).isEqualTo(OrderLease.Step.WAIT);
+    }
+
+    @Test
+    void should_take_a_lease_that_nobody_has_held_and_give_orders_at_once() {
+      // GIVEN
+      OrderLease read = OrderLease.unread("me", TIMING).observe(OrderLeaseRow.ABSENT, 0);
+      // WHEN
+      OrderLease held = read.written(row(7, "me", false), 10, 20);
+      // THEN
+      assertThat(read.next(0)).isEqualTo(OrderLease.Step.ACQUIRE);
+      assertThat(held.mayOrder(20)).isTrue();
+      assertThat(held.tenure().orElseThrow().fence()).isEqualTo(7);
+    }
+
+    @Test
+    void should_take_a_lease_only_after_its_row_stood_still_for_the_lease_time() {
+      // GIVEN
+      OrderLease read = OrderLease.unread("me", TIMING).observe(row(3, "other", false), 100);
+      // WHEN
+      OrderLease renewed = read.observe(row(4, "other", false), 3_000);
+      // THEN
+      assertThat(read.next(5_099)).isEqualTo(OrderLease.Step.WAIT);
+      assertThat(read.next(5_100)).isEqualTo(OrderLease.Step.ACQUIRE);
+      assertThat(renewed.next(7_999)).isEqualTo(OrderLease.Step.WAIT);
+    }
+
+    @Test
+    void should_take_back_its_own_lease_after_an_answer_was_lost() {
+      OrderLease read = OrderLease.unread("me", TIMING).observe(row(3, "me", false), 0);
+      assertThat(read.next(0)).isEqualTo(OrderLease.Step.ACQUIRE);
+    }
+  }
+
+  @Nested
+  class Orders {
+    @Test
+    void should_keep_the_quiet_time_between_orders_of_two_holders_after_a_lapse() {
+      // GIVEN a holder whose last renewal was seen at 0 and who may give orders until 4,000
+      OrderLease read = OrderLease.unread("me", TIMING).observe(row(3, "other", false), 0);
+      // WHEN
+      OrderLease held = read.written(row(4, "me", false), 5_000, 5_010);
+      // THEN
+      long lastOrderOfOtherMillis = 4_000;
+      long firstMillis = held.tenure().orElseThrow().ordersFromMillis();
+      assertThat(firstMillis - lastOrderOfOtherMillis).isGreaterThanOrEqualTo(3_300);
+      assertThat(held.mayOrder(firstMillis - 1)).isFalse();
+    }
+
+    @Test
+    void should_keep_the_whole_quiet_time_after_a_release() {
+      OrderLease read = OrderLease.unread("me", TIMING).observe(row(3, "other", true), 0);
+      OrderLease held = read.written(row(4, "me", false), 100, 110);
+      assertThat(held.tenure().orElseThrow().ordersFromMillis()).isEqualTo(3_410);
+    }
+
+    @Test
+    void should_stop_giving_orders_before_the_lease_runs_out() {
+      OrderLease held =
+          OrderLease.unread("me", TIMING)
+              .observe(OrderLeaseRow.ABSENT, 0)
+              .written(row(1, "me", false), 0, 5);
+      assertThat(held.mayOrder(3_999)).isTrue();
+      assertThat(held.mayOrder(4_000)).isFalse();
+    }
+
+    @Test
+    void should_keep_the_fence_over_renewals() {
+      OrderLease held =
+          OrderLease.unread("me", TIMING)
+              .observe(OrderLeaseRow.ABSENT, 0)
+              .written(row(1, "me", false), 0, 5)
+              .written(row(9, "me", false), 1_000, 1_005);
+      assertThat(held.tenure().orElseThrow().fence()).isEqualTo(1);
+      assertThat(held.mayOrder(4_500)).isTrue();
+    }
+
+    @Test
+    void should_lose_the_tenure_when_another_process_holds_the_row() {
+      OrderLease held =
+          OrderLease.unread("me", TIMING)
+              .observe(OrderLeaseRow.ABSENT, 0)
+              .written(row(1, "me", false), 0, 5)
+              .observe(row(2, "other", false), 50);
+      assertThat(held.mayOrder(60)).isFalse();
+    }
+  }
+
+  private static OrderLeaseRow row(long version, String holder, boolean released) {
+    return new OrderLeaseRow(version, holder, "node-of-" + holder, "127.0.0.1:1", released);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/io/nutmegseam/core/orders/SwapPlannerTest.java
@@ -0,0 +1,167 @@
+package io.nutmegseam.core.orders;
+
+import static io.nutmegseam.core.orders.Fleets.engine;
+import static io.nutmegseam.core.orders.Fleets.rate;
+import static io.nutmegseam.core.orders.Fleets.ref;
+import static io.nutmegseam.core.orders.Fleets.server;
+import static io.nutmegseam.core.orders.Fleets.waiting;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.nutmegseam.core.fleet.ModelRef;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class SwapPlannerTest {
+  private static final int FOUR_STORE_LOADS = 4;
+
+  private final SwapPlanner planner = new SwapPlanner();
+
+  @Nested
+  class RareModel {
+    @Test
+    void should_load_a_model_that_requests_wait_for_where_its_weights_are_on_disk() {
+      // GIVEN
+      SwapView view =
+          view(
+              List.of(server("s1", Set.of(), Set.of()), server("s2", Set.of(), Set.of("rare"))),
+              Map.of(ref("rare"), waiting(1, 9_000)));
+      // WHEN
+      List<ModelOrder> orders = planner.plan(view).orders();
+      // THEN
+      assertThat(orders).filteredOn(o -> o.ref().equals(ref("rare"))).hasSize(1);
+      ModelOrder order = orders.stream().filter(o -> o.ref().equals(ref("rare"))).findFirst().get();
+      assertThat(order.server().id()).isEqualTo("s2");
+      assertThat(order.source()).isEqualTo(LoadSource.DISK);
+    }
+
+    @Test
+    void should_unload_an_unused_model_first_where_there_is_no_room() {
+      // GIVEN
+      SwapView view =
+          new SwapView(
+              engine("busy", "idle", "rare"),
+              List.of(server("s1", Set.of("busy", "idle"), Set.of("busy", "idle", "rare"))),
+              Map.of(ref("rare"), waiting(1, 9_000), ref("busy"), rate(5)),
+              0,
+              0);
+      // WHEN
+      List<ModelOrder> orders = planner.plan(view).orders();
+      // THEN
+      assertThat(orders).hasSize(1);
+      assertThat(orders.get(0).operation()).isEqualTo(ModelOrder.Operation.UNLOAD);
+      assertThat(orders.get(0).ref()).isEqualTo(ref("idle"));
+    }
+
+    @Test
+    void should_order_one_load_for_a_burst_at_many_nodes() {
+      SwapView view =
+          view(
+              List.of(server("s1", Set.of(), Set.of()), server("s2", Set.of(), Set.of())),
+              Map.of(ref("rare"), waiting(50, 9_000)));
+      assertThat(planner.plan(view).orders())
+          .filteredOn(order -> order.ref().equals(ref("rare")))
+          .hasSize(1);
+    }
+
+    @Test
+    void should_tell_when_a_model_is_expected() {
+      SwapView view =
+          view(
+              List.of(server("s1", Set.of(), Set.of("rare"))),
+              Map.of(ref("rare"), waiting(1, 9_000)));
+      assertThat(planner.plan(view).readyAtMillisByModel()).containsKey(ref("rare"));
+    }
+  }
+
+  @Nested
+  class WeightStore {
+    @Test
+    void should_not_begin_more_store_loads_than_allowed() {
+      // GIVEN
+      SwapView view =
+          new SwapView(
+              engine("a", "b", "c", "d"),
+              List.of(
+                  server("s1", Set.of(), Set.of()),
+                  server("s2", Set.of(), Set.of()),
+                  server("s3", Set.of(), Set.of())),
+              Map.of(),
+              2,
+              0);
+      // WHEN
+      List<ModelOrder> orders = planner.plan(view).orders();
+      // THEN
+      assertThat(orders).hasSize(2).allMatch(ModelOrder::isStoreLoad);
+    }
+
+    @Test
+    void should_not_load_a_model_that_a_live_server_has_on_disk_while_nobody_asks() {
+      SwapView view =
+          view(
+              List.of(
+                  server("s1", Set.of("busy", "rare"), Set.of("busy", "rare", "idle")),
+                  server("s2", Set.of(), Set.of())),
+              Map.of());
+      assertThat(planner.plan(view).orders()).isEmpty();
+    }
+  }
+
+  @Nested
+  class Memory {
+    @Test
+    void should_count_the_memory_of_a_pending_load() {
+      // GIVEN a server with room for one model, on which a load of another is under way
+      ServerWork free = server("s1", Set.of("busy"), Set.of("busy"));
+      ModelOrder pending =
+          new ModelOrder(
+              free.entry().incarnation(), ModelOrder.Operation.LOAD, ref("idle"), LoadSource.STORE);
+      ServerWork loading = new ServerWork(free.entry(), Optional.of(pending), 5_000, false);
+      // WHEN
+      double freeMegabytes = MemoryUse.freeMegabytes(engine("busy", "idle", "rare"), loading);
+      // THEN
+      assertThat(freeMegabytes).isEqualTo(Fleets.SERVER_MEGABYTES - 2 * Fleets.MODEL_MEGABYTES);
+    }
+
+    @Test
+    void should_give_no_order_to_a_server_with_a_pending_one() {
+      ServerWork free = server("s1", Set.of(), Set.of("rare"));
+      ModelOrder pending =
+          new ModelOrder(
+              free.entry().incarnation(), ModelOrder.Operation.LOAD, ref("idle"), LoadSource.STORE);
+      SwapView view =
+          view(
+              List.of(new ServerWork(free.entry(), Optional.of(pending), 5_000, false)),
+              Map.of(ref("rare"), waiting(1, 9_000)));
+      assertThat(planner.plan(view).orders()).isEmpty();
+    }
+  }
+
+  @Nested
+  class Adapters {
+    @Test
+    void should_load_an_adapter_where_its_model_is_loaded() {
+      // GIVEN
+      ModelRef adapter = new ModelRef("busy", "a3");
+      SwapView view =
+          view(
+              List.of(
+                  server("s1", Set.of("idle"), Set.of("idle", "rare")),
+                  server("s2", Set.of("busy"), Set.of("busy"))),
+              Map.of(adapter, waiting(1, 1_000)));
+      // WHEN
+      List<ModelOrder> orders = planner.plan(view).orders();
+      // THEN
+      assertThat(orders).hasSize(1);
+      assertThat(orders.get(0).server().id()).isEqualTo("s2");
+      assertThat(orders.get(0).ref()).isEqualTo(adapter);
+    }
+  }
+
+  private static SwapView view(List<ServerWork> servers, Map<ModelRef, ModelDemand> demand) {
+    return new SwapView(engine("busy", "idle", "rare"), servers, demand, FOUR_STORE_LOADS, 0);
+  }
+}
--- a/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
@@ -36,6 +36,9 @@
 
   private static final long REPEATABLE_MAX_IDLE_MILLIS = 8_000;
 
+  /** Least time for a server to begin its answer. */
+  private static final long SERVICE_MILLIS = 100;
+
   /** Most times that a request which did not run is offered to a server. */
   private static final int MAX_OFFERS = 4;
 
@@ -50,6 +53,7 @@
   private String service = "";
   private Optional<ModelRef> ref = Optional.empty();
   private long deadlineMillis;
+  private long waitUntilMillis;
   private ScheduledFuture<?> deadlineTimer;
   private WaitingRoom.Key waitingFor;
   private Attempt attempt;
@@ -95,6 +99,9 @@
       return;
     }
     deadlineMillis = request.arrivedMillis() + timeLeft.get();
+    waitUntilMillis =
+        Math.min(deadlineMillis, request.arrivedMillis() + route.maxSilenceMillis())
+            - SERVICE_MILLIS;
     deadlineTimer =
         context.loop().schedule(this::onDeadline, timeLeft.get(), TimeUnit.MILLISECONDS);
     boolean hasEngine = config.get().service(service).flatMap(ServiceSpec::engine).isPresent();
@@ -124,7 +131,7 @@
 
   @Override
   public long deadlineMillis() {
-    return deadlineMillis;
+    return waitUntilMillis;
   }
 
   @Override
@@ -169,10 +176,14 @@
   /** Waits for a load, unless it is known to come too late. */
   private void waitForModel() {
     Long readyAtMillis = context.board().outlook().readyAtMillisByModel().get(ref.orElseThrow());
-    if (readyAtMillis != null && readyAtMillis > deadlineMillis) {
-      long nowMillis = context.clock().millis();
+    long nowMillis = context.clock().millis();
+    if (nowMillis > waitUntilMillis || (readyAtMillis != null && readyAtMillis > waitUntilMillis)) {
+      long expectedMillis = readyAtMillis == null ? 0 : readyAtMillis;
       refuse(
-          GatewayErrors.notInTime(what(), readyAtMillis - nowMillis, deadlineMillis - nowMillis));
+          GatewayErrors.notInTime(
+              what(),
+              Math.max(RETRY_AFTER_FULL_MILLIS, expectedMillis - nowMillis),
+              waitUntilMillis - nowMillis));
       return;
     }
     if (waitingFor == null) {
--- a/node/src/main/java/io/nutmegseam/node/gateway/FleetControl.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/FleetControl.java
@@ -173,7 +173,14 @@
     removeAtById.remove(id);
     ServerEntry before = entryById.put(id, entry);
     if (before == null || !before.incarnation().equals(entry.incarnation())) {
-      events.record(EventKind.SERVER_SEEN, entry.incarnation().toString(), "at " + entry.address());
+      events.record(
+          EventKind.SERVER_SEEN,
+          entry.incarnation().toString(),
+          "at %s, holds %s, on disk %d"
+              .formatted(
+                  entry.address(),
+                  entry.inventory().adaptersByModel().keySet(),
+                  entry.inventory().onDisk().size()));
     }
     if (entry.draining() && (before == null || !before.draining())) {
       events.record(EventKind.SERVER_LEAVING, entry.incarnation().toString(), "draining");
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
@@ -190,6 +190,9 @@
     boolean lingering = true;
     while (clock.millis() < lastMillis && (lingering || server.inFlight() > 0)) {
       lingering = clock.millis() - startedMillis < STOP_LINGER_MILLIS;
+      if (!lingering) {
+        server.stopListening();
+      }
       server.closeIdle();
       pause();
     }
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayServer.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayServer.java
@@ -31,6 +31,7 @@
   private final TrafficContext context;
   private final AtomicInteger inFlight = new AtomicInteger();
   private final Set<CallerConnection> connections = new HashSet<>();
+  private volatile Channel callers;
 
   /**
    * Creates a server; {@link #listen} opens it.
@@ -45,7 +46,7 @@
 
   /** Listens for callers. */
   public void listen(HostPort address) {
-    bind(address, new CallerInitializer());
+    callers = bind(address, new CallerInitializer());
   }
 
   /**
@@ -63,12 +64,19 @@
     return inFlight.get();
   }
 
+  /** Takes no further connections from callers. */
+  public void stopListening() {
+    if (callers != null) {
+      callers.close();
+    }
+  }
+
   /** Closes the connections on which no request is under way. */
   public void closeIdle() {
     context.loop().execute(() -> List.copyOf(connections).forEach(CallerConnection::closeIfIdle));
   }
 
-  private void bind(HostPort address, ChannelHandler handler) {
+  private Channel bind(HostPort address, ChannelHandler handler) {
     ChannelFuture bound =
         new ServerBootstrap()
             .group(group)
@@ -82,6 +90,7 @@
     if (!bound.isSuccess()) {
       throw new IllegalStateException("can't listen on " + address, bound.cause());
     }
+    return bound.channel();
   }
 
   private final class CallerInitializer extends ChannelInitializer<SocketChannel> {
--- a/node/src/main/java/io/nutmegseam/node/gateway/OrderControl.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/OrderControl.java
@@ -11,6 +11,8 @@
 import io.nutmegseam.core.gateway.GatewayConfig;
 import io.nutmegseam.core.gateway.ServiceSpec;
 import io.nutmegseam.core.orders.ModelOrder;
+import io.nutmegseam.core.orders.OrderAnswer;
+import io.nutmegseam.core.orders.OrderTracker;
 import io.nutmegseam.core.orders.ServerWork;
 import io.nutmegseam.core.orders.StoreLoads;
 import io.nutmegseam.core.orders.SwapPlanner;
@@ -25,57 +27,33 @@
 import java.util.function.BiConsumer;
 
 /**
- * Gives the orders of the node that holds the lease: plans, sends one order a server at a time, and
- * watches each until the server's inventory proves its outcome. Confined to the control thread.
+ * Gives the orders of the node that holds the lease: plans, and sends one order a server at a time.
+ * Confined to the control thread.
  */
 final class OrderControl {
-  /** An order without an answer is settled by the inventory from this time on. */
-  private static final long ANSWER_MILLIS = 800;
-
-  private static final long REPORT_MILLIS = 150;
-
-  /** Time between questions to a server that has not been seen yet. */
+  /** Time between questions to a server that has not been seen yet, in milliseconds. */
   private static final long FIRST_REPORT_MILLIS = 1_000;
 
-  /** A load that has not shown after this multiple of its time is given up. */
-  private static final int OVERDUE_FACTOR = 4;
-
-  private static final long MIN_OVERDUE_MILLIS = 3_000;
-
-  private final GatewayBoard board;
-  private final LeaseControl lease;
-  private final ServerOrders orders;
-  private final DemandBook demand;
-  private final StoreLoads storeLoads;
-  private final ControlThread thread;
+  private final Parts parts;
   private final InstantSource clock;
   private final EventSink events;
-  private final String node;
   private final BiConsumer<Map<Incarnation, Inventory>, Map<ModelRef, Long>> news;
   private final Map<String, SwapPlanner> plannerByService = new HashMap<>();
-  private final Map<Incarnation, Pending> pendingByServer = new HashMap<>();
-  private final Map<Incarnation, Inventory> seen = new HashMap<>();
+  private final Map<Incarnation, OrderTracker> trackerByServer = new HashMap<>();
   private final Map<Incarnation, Long> askedFirstAtMillis = new HashMap<>();
   private long fence = -1;
 
-  /** An order that has not been seen to be done. */
-  private static final class Pending {
-    private final ModelOrder order;
-    private final long countBefore;
-    private final long sentMillis;
-    private final long dueMillis;
-    private boolean answered;
-    private boolean asking;
-    private long askAtMillis;
-
-    private Pending(ModelOrder order, long countBefore, long sentMillis, long dueMillis) {
-      this.order = order;
-      this.countBefore = countBefore;
-      this.sentMillis = sentMillis;
-      this.dueMillis = dueMillis;
-      this.askAtMillis = dueMillis;
-    }
-  }
+  /** What the control works with. */
+  record Parts(
+      String node,
+      GatewayBoard board,
+      LeaseControl lease,
+      ServerOrders orders,
+      DemandBook demand,
+      StoreLoads storeLoads,
+      ControlThread thread,
+      InstantSource clock,
+      EventSink events) {}
 
   /**
    * Creates the control.
@@ -84,77 +62,67 @@
    * @param news takes the inventories and expectations that other nodes should know
    */
   OrderControl(Parts parts, BiConsumer<Map<Incarnation, Inventory>, Map<ModelRef, Long>> news) {
-    this.board = parts.board();
-    this.lease = parts.lease();
-    this.orders = parts.orders();
-    this.demand = parts.demand();
-    this.storeLoads = parts.storeLoads();
-    this.thread = parts.thread();
+    this.parts = parts;
     this.clock = parts.clock();
     this.events = parts.events();
-    this.node = parts.node();
     this.news = news;
   }
 
-  /** What the control works with. */
-  record Parts(
-      String node,
-      GatewayBoard board,
-      LeaseControl lease,
-      ServerOrders orders,
-      DemandBook demand,
-      StoreLoads storeLoads,
-      ControlThread thread,
-      InstantSource clock,
-      EventSink events) {}
-
   /** Plans and gives orders, if this node may. */
   void tick() {
-    Optional<Long> held = lease.fence();
-    if (held.isEmpty() || board.config().isEmpty()) {
-      if (fence >= 0) {
-        forget();
-      }
+    Optional<Long> held = parts.lease().fence();
+    Optional<GatewayConfig> config = parts.board().config();
+    if (held.isEmpty() || config.isEmpty()) {
+      forget(-1);
       return;
     }
     if (held.get() != fence) {
-      forget();
-      fence = held.get();
+      forget(held.get());
     }
-    Fleet fleet = board.fleet();
-    pendingByServer.keySet().removeIf(server -> !fleet.isCurrent(server));
-    seen.keySet().removeIf(server -> !fleet.isCurrent(server));
+    Fleet fleet = parts.board().fleet();
+    trackerByServer.keySet().removeIf(server -> !fleet.isCurrent(server));
     askedFirstAtMillis.keySet().removeIf(server -> !fleet.isCurrent(server));
-    pendingByServer.forEach(this::watch);
     Map<ModelRef, Long> expectations = new HashMap<>();
-    GatewayConfig config = board.config().orElseThrow();
-    for (ServiceSpec service : config.services().values()) {
+    for (ServiceSpec service : config.get().services().values()) {
       service.engine().ifPresent(e -> expectations.putAll(plan(service.name(), e, fleet)));
     }
-    news.accept(Map.copyOf(seen), expectations);
+    Map<Incarnation, Inventory> inventories = new HashMap<>();
+    trackerByServer.forEach((server, tracker) -> inventories.put(server, tracker.inventory()));
+    news.accept(inventories, expectations);
   }
 
-  private void forget() {
-    fence = -1;
-    pendingByServer.clear();
-    seen.clear();
-    askedFirstAtMillis.clear();
-    plannerByService.values().forEach(SwapPlanner::reset);
+  private void forget(long nextFence) {
+    if (fence != nextFence) {
+      fence = nextFence;
+      trackerByServer.clear();
+      askedFirstAtMillis.clear();
+      plannerByService.values().forEach(SwapPlanner::reset);
+    }
   }
 
   private Map<ModelRef, Long> plan(String service, EngineSpec engine, Fleet fleet) {
+    long nowMillis = clock.millis();
     List<ServerWork> servers = new ArrayList<>();
-    int running = 0;
+    int storeLoads = 0;
     for (ServerEntry entry : fleet.ofService(service)) {
-      ServerWork work = work(entry);
+      OrderTracker tracker = trackerByServer.get(entry.incarnation());
+      if (tracker == null) {
+        askFirst(entry);
+        continue;
+      }
+      proceed(entry, tracker, nowMillis);
+      ServerWork work =
+          new ServerWork(
+              entry.with(tracker.inventory()),
+              tracker.pending(),
+              tracker.pendingUntilMillis(),
+              tracker.isFollowable());
       servers.add(work);
-      boolean unknownOrder = work.pending().isEmpty() && work.entry().inventory().busy();
-      running += work.pending().filter(ModelOrder::isStoreLoad).isPresent() ? 1 : 0;
-      running += unknownOrder ? 1 : 0;
+      storeLoads += mayLoadFromStore(work, nowMillis) ? 1 : 0;
     }
-    long nowMillis = clock.millis();
-    int allowed = storeLoads.allowed(running, engine.storeLoadsPerSecond(), nowMillis);
-    SwapView view = new SwapView(engine, servers, demand.demand(service), allowed, nowMillis);
+    int allowed = parts.storeLoads().allowed(storeLoads, engine.storeLoadsPerSecond(), nowMillis);
+    SwapView view =
+        new SwapView(engine, servers, parts.demand().demand(service), allowed, nowMillis);
     SwapPlanner.Plan plan =
         plannerByService.computeIfAbsent(service, s -> new SwapPlanner()).plan(view);
     for (ModelOrder order : plan.orders()) {
@@ -163,52 +131,19 @@
     return plan.readyAtMillisByModel();
   }
 
-  private ServerWork work(ServerEntry entry) {
-    Pending pending = pendingByServer.get(entry.incarnation());
-    ServerEntry current = entry.with(newest(entry));
-    if (pending == null && !seen.containsKey(entry.incarnation())) {
-      askFirst(entry);
-      return new ServerWork(current.asDraining(), Optional.empty(), 0);
-    }
-    return pending == null
-        ? new ServerWork(current, Optional.empty(), 0)
-        : new ServerWork(current, Optional.of(pending.order), pending.dueMillis);
-  }
-
-  /** Asks a server for its order count, without which it takes no orders. */
-  private void askFirst(ServerEntry entry) {
-    Incarnation server = entry.incarnation();
-    long nowMillis = clock.millis();
-    if (askedFirstAtMillis.getOrDefault(server, 0L) + FIRST_REPORT_MILLIS > nowMillis) {
-      return;
-    }
-    askedFirstAtMillis.put(server, nowMillis);
-    orders
-        .inventory(entry)
-        .whenComplete(
-            (inventory, e) ->
-                thread.execute(
-                    () -> {
-                      if (e == null && fence >= 0) {
-                        seen.putIfAbsent(server, withCopies(server, inventory));
-                      }
-                    }));
-  }
-
-  /** Returns what this node has read from a server, or else the server's announcement. */
-  private Inventory newest(ServerEntry entry) {
-    Inventory own = seen.get(entry.incarnation());
-    return own == null ? entry.inventory() : own;
+  /** A load that should be done takes no more of the weight store, whether or not it has shown. */
+  private static boolean mayLoadFromStore(ServerWork work, long nowMillis) {
+    boolean own = work.pending().filter(ModelOrder::isStoreLoad).isPresent();
+    boolean unknown = work.pending().isEmpty() && work.entry().inventory().busy();
+    return (own && nowMillis < work.pendingUntilMillis()) || unknown;
   }
 
   private void send(ModelOrder order, EngineSpec engine, ServerEntry entry) {
+    OrderTracker tracker = trackerByServer.get(order.server());
     long nowMillis = clock.millis();
-    long takesMillis = OrderTimes.expectedMillis(order, engine);
-    long count = newest(entry).orderCount();
-    Pending pending = new Pending(order, count, nowMillis, nowMillis + takesMillis);
-    pendingByServer.put(order.server(), pending);
+    tracker.onSent(order, OrderTimes.expectedMillis(order, engine), nowMillis);
     if (order.isStoreLoad()) {
-      storeLoads.onStarted(nowMillis);
+      parts.storeLoads().onStarted(nowMillis);
     }
     events.record(
         order.operation() == ModelOrder.Operation.LOAD
@@ -216,108 +151,108 @@
             : EventKind.UNLOAD_ORDERED,
         order.ref().toString(),
         "server %s, from %s, count %d, fence %d"
-            .formatted(order.server(), order.source(), count, fence));
-    orders
-        .send(entry, order, new ServerOrders.Stamp(node, fence, count))
-        .whenComplete((outcome, e) -> thread.execute(() -> onOutcome(pending, outcome, e)));
+            .formatted(order.server(), order.source(), tracker.inventory().orderCount(), fence));
+    transmit(order, entry, tracker);
   }
 
-  private void onOutcome(Pending pending, ServerOrders.Outcome outcome, Throwable failure) {
-    if (pendingByServer.get(pending.order.server()) != pending) {
-      return;
-    }
-    if (failure != null) {
-      events.record(EventKind.ORDER_AMBIGUOUS, pending.order.ref().toString(), failure.toString());
-      pending.askAtMillis = clock.millis();
-      return;
-    }
-    pending.answered = true;
-    switch (outcome) {
-      case ACCEPTED -> {}
-      case ALREADY_DONE -> pending.askAtMillis = clock.millis();
-      case CONFLICT, REJECTED -> {
-        events.record(
-            EventKind.LOAD_FAILED,
-            pending.order.ref().toString(),
-            "server %s answered %s".formatted(pending.order.server(), outcome));
-        pending.askAtMillis = clock.millis();
-        pending.answered = false;
-      }
-      default -> throw new IllegalStateException("unknown outcome " + outcome);
-    }
+  private void transmit(ModelOrder order, ServerEntry entry, OrderTracker tracker) {
+    ServerOrders.Stamp stamp =
+        new ServerOrders.Stamp(parts.node(), fence, tracker.inventory().orderCount());
+    parts
+        .orders()
+        .send(entry, order, stamp)
+        .whenComplete(
+            (answer, e) -> parts.thread().execute(() -> onAnswer(order, tracker, answer, e)));
   }
 
-  /** Asks the server of a pending order what it holds, once the order should be done. */
-  private void watch(Incarnation server, Pending pending) {
-    long nowMillis = clock.millis();
-    if (pending.asking || nowMillis < pending.askAtMillis) {
+  private void onAnswer(
+      ModelOrder order, OrderTracker tracker, OrderAnswer answer, Throwable failure) {
+    if (failure != null) {
+      events.record(EventKind.ORDER_AMBIGUOUS, order.ref().toString(), failure.toString());
+      tracker.onUnanswered(clock.millis());
       return;
     }
-    Optional<ServerEntry> entry = board.fleet().entry(server.id());
-    if (entry.isEmpty()) {
-      return;
+    if (answer == OrderAnswer.REJECTED) {
+      events.record(EventKind.LOAD_FAILED, order.ref().toString(), "rejected by " + order.server());
     }
-    pending.asking = true;
-    pending.askAtMillis = nowMillis + REPORT_MILLIS;
-    orders
-        .inventory(entry.get())
-        .whenComplete((inventory, e) -> thread.execute(() -> onReport(pending, inventory, e)));
+    tracker.onAnswer(answer, clock.millis());
   }
 
-  private void onReport(Pending pending, Inventory inventory, Throwable failure) {
-    pending.asking = false;
-    Incarnation server = pending.order.server();
-    if (pendingByServer.get(server) != pending) {
-      return;
-    }
-    long nowMillis = clock.millis();
-    if (failure == null) {
-      Inventory before = seen.get(server);
-      if (before == null || inventory.orderCount() >= before.orderCount()) {
-        seen.put(server, withCopies(server, inventory));
+  /** Does what the pending order of a server asks for. */
+  private void proceed(ServerEntry entry, OrderTracker tracker, long nowMillis) {
+    Optional<ModelOrder> before = tracker.pending();
+    switch (tracker.next(nowMillis)) {
+      case WAIT -> {}
+      case SEND_AGAIN -> {
+        tracker.onSentAgain(nowMillis);
+        transmit(before.orElseThrow(), entry, tracker);
       }
-      settle(pending, inventory, nowMillis);
-    }
-    long takesMillis = pending.dueMillis - pending.sentMillis;
-    long overdueMillis = Math.max(MIN_OVERDUE_MILLIS, takesMillis * OVERDUE_FACTOR);
-    if (nowMillis - pending.sentMillis > overdueMillis && !inventoryIsBusy(inventory)) {
-      events.record(EventKind.LOAD_FAILED, pending.order.ref().toString(), "overdue at " + server);
-      pendingByServer.remove(server);
+      case ASK -> ask(entry, tracker);
+      default -> throw new IllegalStateException("unknown step for " + entry.incarnation());
     }
+    logSettled(before, tracker, entry.incarnation());
+  }
+
+  private void ask(ServerEntry entry, OrderTracker tracker) {
+    tracker.onAsked();
+    parts
+        .orders()
+        .inventory(entry)
+        .whenComplete(
+            (inventory, e) -> parts.thread().execute(() -> onReport(entry, tracker, inventory, e)));
   }
 
-  private static boolean inventoryIsBusy(Inventory inventory) {
-    return inventory != null && inventory.busy();
+  private void onReport(
+      ServerEntry entry, OrderTracker tracker, Inventory inventory, Throwable failure) {
+    if (failure != null) {
+      tracker.onNoReport(clock.millis());
+      return;
+    }
+    Optional<ModelOrder> before = tracker.pending();
+    tracker.onReport(InventoryCopies.join(inventory, tracker.inventory()), clock.millis());
+    logSettled(before, tracker, entry.incarnation());
   }
 
-  /** Ends a pending order whose outcome the inventory proves. */
-  private void settle(Pending pending, Inventory inventory, long nowMillis) {
-    boolean taken = inventory.orderCount() > pending.countBefore;
-    boolean load = pending.order.operation() == ModelOrder.Operation.LOAD;
-    boolean holds = inventory.holds(pending.order.ref());
-    if (taken && !inventory.busy()) {
+  private void logSettled(Optional<ModelOrder> before, OrderTracker tracker, Incarnation server) {
+    if (before.isPresent() && tracker.pending().isEmpty()) {
+      ModelOrder order = before.get();
+      boolean load = order.operation() == ModelOrder.Operation.LOAD;
       events.record(
           load ? EventKind.LOAD_DONE : EventKind.UNLOAD_DONE,
-          pending.order.ref().toString(),
-          "server %s, count %d, %d ms, held %s"
+          order.ref().toString(),
+          "server %s, count %d, held %s"
               .formatted(
-                  pending.order.server(),
-                  inventory.orderCount(),
-                  nowMillis - pending.sentMillis,
-                  holds));
-      pendingByServer.remove(pending.order.server());
-    } else if (!taken && !pending.answered && nowMillis - pending.sentMillis > ANSWER_MILLIS) {
-      // The order may still arrive late; the next one bears the same count, so one of them fails.
-      pendingByServer.remove(pending.order.server());
+                  server,
+                  tracker.inventory().orderCount(),
+                  tracker.inventory().holds(order.ref())));
     }
   }
 
-  /** A report may leave out the copies of weights; the entry and the order tell of them. */
-  private Inventory withCopies(Incarnation server, Inventory inventory) {
-    return board
-        .fleet()
-        .entry(server.id())
-        .map(entry -> InventoryCopies.join(inventory, newest(entry)))
-        .orElse(inventory);
+  /** Asks a server for its order count, without which it takes no orders. */
+  private void askFirst(ServerEntry entry) {
+    Incarnation server = entry.incarnation();
+    long nowMillis = clock.millis();
+    Long askedMillis = askedFirstAtMillis.get(server);
+    if (askedMillis != null && nowMillis - askedMillis < FIRST_REPORT_MILLIS) {
+      return;
+    }
+    askedFirstAtMillis.put(server, nowMillis);
+    long asker = fence;
+    parts
+        .orders()
+        .inventory(entry)
+        .whenComplete(
+            (inventory, e) ->
+                parts
+                    .thread()
+                    .execute(
+                        () -> {
+                          if (e == null && fence == asker) {
+                            trackerByServer.putIfAbsent(
+                                server,
+                                new OrderTracker(
+                                    InventoryCopies.join(inventory, entry.inventory())));
+                          }
+                        }));
   }
 }
