--- a/core/src/main/java/io/nutmegseam/core/orders/OrderTracker.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/OrderTracker.java
@@ -32,6 +32,9 @@
   /** What was concluded from answers alone is checked by a report after this time. */
   private static final long AUDIT_MILLIS = 1_500;
 
+  /** An order without an answer may be carried out up to this long after it was sent. */
+  private static final long LATE_MILLIS = 14_000;
+
   private Inventory inventory;
   private Phase phase = Phase.NONE;
   private ModelOrder order;
@@ -42,6 +45,7 @@
   private long dueMillis;
   private long nextMillis;
   private long auditAtMillis = Long.MAX_VALUE;
+  private long lateUntilMillis = Long.MIN_VALUE;
 
   private enum Phase {
     NONE,
@@ -145,6 +149,7 @@
   public void onUnanswered(long nowMillis) {
     if (phase == Phase.SENT) {
       phase = Phase.UNANSWERED;
+      lateUntilMillis = nowMillis + LATE_MILLIS;
       nextMillis = nowMillis;
     }
   }
@@ -157,14 +162,11 @@
     }
     boolean taken = reported.orderCount() > inventory.orderCount();
     inventory = reported;
-    auditAtMillis = Long.MAX_VALUE;
-    if (phase == Phase.UNANSWERED && taken) {
-      phase = Phase.ACCEPTED;
-    }
-    if (phase == Phase.ACCEPTED && !reported.busy()) {
-      phase = Phase.NONE;
-    } else if (phase == Phase.REFUSED
-        || (phase == Phase.UNANSWERED && nowMillis - sentMillis > UNANSWERED_MILLIS)) {
+    auditAtMillis = nowMillis < lateUntilMillis ? nowMillis + AUDIT_MILLIS : Long.MAX_VALUE;
+    boolean done = phase == Phase.ACCEPTED && !reported.busy();
+    // Which order was taken cannot be told: an earlier one may have arrived late.
+    boolean known = taken || nowMillis - sentMillis > UNANSWERED_MILLIS;
+    if (done || phase == Phase.REFUSED || (phase == Phase.UNANSWERED && known)) {
       phase = Phase.NONE;
     }
   }
--- a/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
@@ -1,11 +1,12 @@
 package io.nutmegseam.node.gateway;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.concurrent.ScheduledFuture;
-import io.nutmegseam.core.error.ErrorKind;
+import io.nutmegseam.core.error.Ran;
 import io.nutmegseam.core.error.ServeException;
 import io.nutmegseam.core.event.EventKind;
 import io.nutmegseam.core.fleet.ModelRef;
@@ -15,16 +16,13 @@
 import io.nutmegseam.core.gateway.Route;
 import io.nutmegseam.core.gateway.ServiceSpec;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /** One request from its arrival to the end of its answer. Confined to the traffic thread. */
-final class Exchange implements WaitingRoom.Waiter {
-  private static final int STATUS_MISDIRECTED = 421;
-
+final class Exchange implements WaitingRoom.Waiter, Attempt.Owner {
   /** A server that has no room is passed over for this time. */
   private static final long FULL_PAUSE_MILLIS = 300;
 
@@ -39,6 +37,11 @@
   /** Least time for a server to begin its answer. */
   private static final long SERVICE_MILLIS = 100;
 
+  /** A repeatable request without an answer goes elsewhere after this multiple of its target. */
+  private static final int SILENCE_TARGETS = 3;
+
+  private static final long MIN_SILENCE_MILLIS = 500;
+
   /** Most times that a request which did not run is offered to a server. */
   private static final int MAX_OFFERS = 4;
 
@@ -55,11 +58,14 @@
   private long deadlineMillis;
   private long waitUntilMillis;
   private ScheduledFuture<?> deadlineTimer;
+  private ScheduledFuture<?> silenceTimer;
   private WaitingRoom.Key waitingFor;
   private Attempt attempt;
+  private EventAssembler assembler;
   private int offers;
   private int runs;
   private boolean mayHaveRun;
+  private boolean headSent;
   private boolean done;
 
   /**
@@ -156,34 +162,45 @@
   }
 
   private void dispatch() {
-    ServerChooser.Need need = new ServerChooser.Need(service, ref, affinity(), tried);
-    Optional<ServerEntry> chosen = context.chooser().choose(context.board().fleet(), need);
+    Optional<ServerEntry> chosen = choose();
     if (chosen.isPresent()) {
       leaveRoom();
       offers++;
-      attempt = new Attempt(chosen.get());
-      attempt.start();
-      return;
-    }
-    boolean known = !context.chooser().holders(context.board().fleet(), service, ref).isEmpty();
-    if (ref.isPresent() && !known) {
+      attempt = new Attempt(context, chosen.get(), this);
+      watchSilence();
+      attempt.start(
+          route.repeatable() ? REPEATABLE_MAX_IDLE_MILLIS : NON_REPEATABLE_MAX_IDLE_MILLIS);
+    } else if (headSent) {
+      breakOff("no server to go on at");
+    } else if (ref.isPresent() && isHeldByNone()) {
       waitForModel();
     } else {
-      refuse(GatewayErrors.noServer(what(), RETRY_AFTER_FULL_MILLIS));
+      refuse(orLost(GatewayErrors.noServer(what(), RETRY_AFTER_FULL_MILLIS)));
     }
   }
 
+  private Optional<ServerEntry> choose() {
+    ServerChooser.Need need = new ServerChooser.Need(service, ref, affinity(), tried);
+    return context.chooser().choose(context.board().fleet(), need);
+  }
+
+  private boolean isHeldByNone() {
+    return context.chooser().holders(context.board().fleet(), service, ref).isEmpty();
+  }
+
   /** Waits for a load, unless it is known to come too late. */
   private void waitForModel() {
     Long readyAtMillis = context.board().outlook().readyAtMillisByModel().get(ref.orElseThrow());
     long nowMillis = context.clock().millis();
-    if (nowMillis > waitUntilMillis || (readyAtMillis != null && readyAtMillis > waitUntilMillis)) {
-      long expectedMillis = readyAtMillis == null ? 0 : readyAtMillis;
+    boolean tooLate = readyAtMillis != null && readyAtMillis > waitUntilMillis;
+    if (nowMillis > waitUntilMillis || tooLate) {
+      long expectedMillis = tooLate ? readyAtMillis - nowMillis : 0;
       refuse(
-          GatewayErrors.notInTime(
-              what(),
-              Math.max(RETRY_AFTER_FULL_MILLIS, expectedMillis - nowMillis),
-              waitUntilMillis - nowMillis));
+          orLost(
+              GatewayErrors.notInTime(
+                  what(),
+                  Math.max(RETRY_AFTER_FULL_MILLIS, expectedMillis),
+                  waitUntilMillis - nowMillis)));
       return;
     }
     if (waitingFor == null) {
@@ -200,6 +217,40 @@
     }
   }
 
+  /** Looks for another server if this one does not begin to answer. */
+  private void watchSilence() {
+    stopWatchingSilence();
+    if (route.repeatable() && runs + 1 < route.maxAttempts()) {
+      long silenceMillis =
+          Math.max(MIN_SILENCE_MILLIS, SILENCE_TARGETS * route.targetLatencyMillis());
+      silenceTimer = context.loop().schedule(this::onSilence, silenceMillis, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void stopWatchingSilence() {
+    if (silenceTimer != null) {
+      silenceTimer.cancel(false);
+      silenceTimer = null;
+    }
+  }
+
+  private void onSilence() {
+    if (done || attempt == null || !attempt.isWaiting()) {
+      return;
+    }
+    Attempt silent = attempt;
+    tried.add(silent.server().incarnation().id());
+    if (choose().isPresent() && context.retries().tryAgain(service)) {
+      runs += silent.isSent() ? 1 : 0;
+      mayHaveRun |= silent.isSent();
+      context.loads().onFailed(silent.server().incarnation().id());
+      silent.stop();
+      attempt = null;
+      onRetried("silent", silent.server().incarnation() + " did not begin to answer");
+      dispatch();
+    }
+  }
+
   private WaitingRoom.Key key() {
     return new WaitingRoom.Key(service, ref.orElseThrow());
   }
@@ -224,265 +275,185 @@
     if (done) {
       return;
     }
-    if (attempt != null && attempt.relaying) {
-      context.events().record(EventKind.REQUEST_REFUSED, id, "cut at its deadline, " + what());
-      answer.abort();
-      finish("cut");
-    } else if (mayHaveRun || (attempt != null && attempt.sent)) {
+    if (headSent) {
+      breakOff("deadline");
+    } else if (mayHaveRun || (attempt != null && attempt.isSent())) {
       refuse(GatewayErrors.timedOut(route, age()));
     } else {
       refuse(GatewayErrors.expired(route, age()));
     }
   }
 
+  /** Closes the caller's connection, since an answer that has begun cannot become an error. */
+  private void breakOff(String reason) {
+    context
+        .events()
+        .record(
+            EventKind.REQUEST_REFUSED,
+            id,
+            "answer cut after %d ms: %s, %s".formatted(age(), reason, what()));
+    answer.abort();
+    finish("cut");
+  }
+
   private void refuse(ServeException error) {
     context
         .events()
-        .record(EventKind.REQUEST_REFUSED, id, error.kind().word() + ": " + error.getMessage());
+        .record(
+            EventKind.REQUEST_REFUSED,
+            id,
+            "%s after %d ms: %s".formatted(error.kind().word(), age(), error.getMessage()));
     answer.refuse(error);
     finish(error.kind().word());
   }
 
+  /** An error that says "not run" is replaced if an earlier attempt may have run. */
+  private ServeException orLost(ServeException error) {
+    return mayHaveRun && error.kind().ran() == Ran.NO
+        ? GatewayErrors.lost(error.getMessage())
+        : error;
+  }
+
   private void finish(String outcome) {
     done = true;
     leaveRoom();
+    stopWatchingSilence();
     if (deadlineTimer != null) {
       deadlineTimer.cancel(false);
     }
     if (attempt != null) {
       attempt.stop();
     }
+    if (assembler != null) {
+      assembler.release();
+      assembler = null;
+    }
     context.metrics().onEnded(outcome);
     onDone.run();
   }
 
+  private void onRetried(String cause, String reason) {
+    context.metrics().onRetried(cause);
+    context.events().record(EventKind.REQUEST_RETRIED, id, cause + ", " + reason);
+  }
+
   /** Sends the request once more if that is allowed, or gives the caller the error. */
   private void retryOr(String cause, ServeException error) {
     attempt = null;
     boolean allowed =
         mayHaveRun ? route.repeatable() && runs < route.maxAttempts() : offers < MAX_OFFERS;
     if (allowed && context.retries().tryAgain(service)) {
-      context.metrics().onRetried(cause);
-      context.events().record(EventKind.REQUEST_RETRIED, id, cause + ", " + error.getMessage());
+      onRetried(cause, error.getMessage());
       dispatch();
+    } else if (headSent) {
+      breakOff(error.getMessage());
     } else {
-      boolean promises = error.kind().ran() == io.nutmegseam.core.error.Ran.NO;
-      refuse(mayHaveRun && promises ? GatewayErrors.lost(error.getMessage()) : error);
+      refuse(orLost(error));
     }
   }
 
-  /** The request at one server. */
-  private final class Attempt implements ResponseListener {
-    private final ServerEntry server;
-    private final long startedMillis = context.clock().millis();
-    private ServerConnection connection;
-    private boolean sent;
-    private boolean relaying;
-    private boolean ended;
-    private HttpResponse held;
-
-    private Attempt(ServerEntry server) {
-      this.server = server;
-    }
-
-    private String serverId() {
-      return server.incarnation().id();
-    }
-
-    private void start() {
-      context.loads().onSent(serverId());
-      long maxIdleMillis =
-          route.repeatable() ? REPEATABLE_MAX_IDLE_MILLIS : NON_REPEATABLE_MAX_IDLE_MILLIS;
-      context
-          .pools()
-          .pool(server.host(), server.port())
-          .acquire(maxIdleMillis, this::send, reason -> onFailed(false, reason));
-    }
-
-    private void send(ServerConnection ready) {
-      if (ended) {
-        ready.abort();
-        return;
-      }
-      connection = ready;
-      sent = true;
-      context
-          .events()
-          .record(
-              EventKind.REQUEST_DISPATCHED,
-              id,
-              "%s, server %s, after %d ms".formatted(what(), server.incarnation(), age()));
-      HttpHeaders headers =
-          ForwardedHeaders.toServer(
-              request.headers(),
-              context.headers(),
-              new ForwardedHeaders.Stamp(
-                  Math.max(1, deadlineMillis - context.clock().millis()),
-                  serverId(),
-                  route.kind() == RequestKind.STREAMING ? route.priority() : -1));
-      connection.send(
-          new ServerConnection.Outbound(
-              request.method(), request.target(), headers, request.body(), id),
-          this);
-    }
-
-    private void setReading(boolean reading) {
-      if (connection != null) {
-        connection.setReading(reading);
-      }
-    }
-
-    /** Ends the attempt; closing the connection also stops the server's work. */
-    private void stop() {
-      if (!ended) {
-        end();
-        if (connection != null) {
-          connection.abort();
-        }
-      }
-    }
-
-    private void end() {
-      ended = true;
-      context.loads().onDone(serverId());
-    }
-
-    @Override
-    public void onHead(HttpResponse head) {
-      readLoad(head);
-      boolean success = head.status().codeClass() == HttpStatusClass.SUCCESS;
-      boolean hasReceipt = head.headers().contains(context.headers().receipt());
-      boolean notRun =
-          head.status().code() == STATUS_MISDIRECTED
-              || head.headers().contains(context.headers().notRun());
-      if (success && !hasReceipt) {
-        end();
-        connection.abort();
-        onLost("answer without a receipt from " + server.incarnation());
-      } else if (!success && (notRun || mayTryElsewhere(head))) {
-        held = head;
-      } else {
-        relay(head);
-      }
-    }
+  @Override
+  public ServerConnection.Outbound outbound(ServerEntry server) {
+    context
+        .events()
+        .record(
+            EventKind.REQUEST_DISPATCHED,
+            id,
+            "%s, server %s, after %d ms".formatted(what(), server.incarnation(), age()));
+    HttpHeaders headers =
+        ForwardedHeaders.toServer(
+            request.headers(),
+            context.headers(),
+            new ForwardedHeaders.Stamp(
+                Math.max(1, deadlineMillis - context.clock().millis()),
+                server.incarnation().id(),
+                route.kind() == RequestKind.STREAMING ? route.priority() : -1));
+    if (assembler != null) {
+      assembler.lastId().ifPresent(last -> headers.set(context.headers().lastEventId(), last));
+    }
+    return new ServerConnection.Outbound(
+        request.method(), request.target(), headers, request.body(), id);
+  }
 
-    /** A failure of an idempotent request is worth another server. */
-    private boolean mayTryElsewhere(HttpResponse head) {
-      return head.status().codeClass() == HttpStatusClass.SERVER_ERROR
-          && route.kind() == RequestKind.IDEMPOTENT
-          && runs + 1 < route.maxAttempts();
-    }
+  @Override
+  public boolean mayTryElsewhere() {
+    return headSent || (route.kind() == RequestKind.IDEMPOTENT && runs + 1 < route.maxAttempts());
+  }
 
-    private void relay(HttpResponse head) {
-      relaying = true;
-      runs++;
-      mayHaveRun = true;
-      context.metrics().onFirstByte(age());
-      answer.head(head.status(), ForwardedHeaders.toCaller(head.headers()));
+  @Override
+  public void onHead(HttpResponse head) {
+    stopWatchingSilence();
+    runs++;
+    mayHaveRun = true;
+    if (headSent) {
+      return;
     }
-
-    @Override
-    public void onContent(ByteBuf content) {
-      if (relaying) {
-        answer.content(content);
-        if (!answer.isWritable()) {
-          connection.setReading(false);
-        }
-      }
+    headSent = true;
+    context.metrics().onFirstByte(age());
+    HttpHeaders headers = ForwardedHeaders.toCaller(head.headers());
+    boolean fixedLength = headers.contains(HttpHeaderNames.CONTENT_LENGTH);
+    if (route.kind() == RequestKind.STREAMING && route.resumable() && !fixedLength) {
+      assembler = new EventAssembler(ByteBufAllocator.DEFAULT, answer::content);
     }
+    answer.head(head.status(), headers);
+  }
 
-    @Override
-    public void onComplete() {
-      if (ended) {
-        return;
-      }
-      end();
-      if (held != null) {
-        onRejected(held);
-        return;
-      }
-      context.loads().onAnswered(serverId(), 1);
-      context
-          .events()
-          .record(
-              EventKind.REQUEST_ANSWERED,
-              id,
-              "server %s, attempt %d ms, total %d ms"
-                  .formatted(
-                      server.incarnation(), context.clock().millis() - startedMillis, age()));
-      answer.end();
-      finish("answered");
+  @Override
+  public void onContent(ByteBuf content) {
+    if (assembler == null) {
+      answer.content(content);
+    } else {
+      assembler.accept(content);
     }
-
-    @Override
-    public void onFailed(boolean wasSent, String reason) {
-      if (ended) {
-        return;
-      }
-      end();
-      context.loads().onFailed(serverId());
-      tried.add(serverId());
-      if (relaying) {
-        context
-            .events()
-            .record(
-                EventKind.REQUEST_REFUSED,
-                id,
-                "answer of %s broke off: %s".formatted(server.incarnation(), reason));
-        answer.abort();
-        finish("broken");
-      } else if (wasSent) {
-        onLost("%s: %s".formatted(server.incarnation(), reason));
-      } else {
-        retryOr("connect", GatewayErrors.notRun(reason, RETRY_AFTER_FULL_MILLIS));
-      }
+    if (!answer.isWritable()) {
+      attempt.setReading(false);
     }
+  }
 
-    private void onLost(String reason) {
-      tried.add(serverId());
-      runs++;
-      mayHaveRun = true;
-      retryOr("lost", GatewayErrors.lost(reason));
-    }
+  @Override
+  public void onAnswered() {
+    context
+        .events()
+        .record(
+            EventKind.REQUEST_ANSWERED,
+            id,
+            "server %s, offers %d, total %d ms"
+                .formatted(attempt.server().incarnation(), offers, age()));
+    if (assembler != null) {
+      assembler.end();
+    }
+    answer.end();
+    finish("answered");
+  }
 
-    /** The server sent a failure that was held back while another server may do better. */
-    private void onRejected(HttpResponse head) {
-      int status = head.status().code();
-      boolean notRun =
-          status == STATUS_MISDIRECTED || head.headers().contains(context.headers().notRun());
-      if (!notRun) {
-        onLost("%s answered %d".formatted(server.incarnation(), status));
-        return;
-      }
-      if (status == STATUS_MISDIRECTED && ref.isPresent()) {
-        context.chooser().onDenied(server, ref.get());
-      } else {
-        tried.add(serverId());
-        context.loads().onFull(serverId(), FULL_PAUSE_MILLIS);
-      }
-      String reason = "%s refused with %d".formatted(server.incarnation(), status);
-      retryOr("refused", GatewayErrors.notRun(reason, RETRY_AFTER_FULL_MILLIS));
+  @Override
+  public void onNotRun(String cause, boolean misdirected, String reason) {
+    ServerEntry server = attempt.server();
+    if (misdirected && ref.isPresent()) {
+      context.chooser().onDenied(server, ref.get());
+    } else {
+      tried.add(server.incarnation().id());
+      context.loads().onFull(server.incarnation().id(), FULL_PAUSE_MILLIS);
     }
+    retryOr(cause, GatewayErrors.notRun(reason, RETRY_AFTER_FULL_MILLIS));
+  }
 
-    private void readLoad(HttpResponse head) {
-      String text = head.headers().get(context.headers().load(), "");
-      List<String> parts = List.of(text.split(",", -1));
-      if (parts.size() >= 2) {
-        try {
-          int running = Integer.parseInt(parts.get(0).trim());
-          int queued = Integer.parseInt(parts.get(1).trim());
-          context.loads().onReport(serverId(), running, queued);
-        } catch (NumberFormatException e) {
-          context
-              .events()
-              .record(EventKind.SERVER_UNREACHABLE, serverId(), "load \"" + text + "\"");
-        }
-      }
-    }
+  @Override
+  public void onLost(String reason) {
+    tried.add(attempt.server().incarnation().id());
+    runs++;
+    mayHaveRun = true;
+    retryOr("lost", GatewayErrors.lost(reason));
   }
 
-  /** Returns whether an error says that the request did not run. */
-  static boolean isPromise(ErrorKind kind) {
-    return kind.ran() == io.nutmegseam.core.error.Ran.NO;
+  @Override
+  public void onBroken(String reason) {
+    tried.add(attempt.server().incarnation().id());
+    if (assembler == null || assembler.lastId().isEmpty()) {
+      breakOff(reason);
+      return;
+    }
+    assembler.dropUnfinished();
+    retryOr("resumed", GatewayErrors.lost(reason));
   }
 }
--- a/node/src/main/java/io/nutmegseam/node/gateway/ServerLoads.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/ServerLoads.java
@@ -22,7 +22,7 @@
     private int outstanding;
     private int reported;
     private long reportedAtMillis;
-    private double slowness = 1;
+    private double meanMillis;
     private long fullUntilMillis;
   }
 
@@ -58,11 +58,11 @@
     state(server).fullUntilMillis = clock.millis() + forMillis;
   }
 
-  /** Notes an answer, and how long it took as a multiple of the expected time. */
-  void onAnswered(String server, double slowness) {
+  /** Notes a whole answer, and how long the server took for it. */
+  void onAnswered(String server, long tookMillis) {
     ejection = ejection.succeeded(server);
     State state = state(server);
-    state.slowness += MEAN_WEIGHT * (Math.min(slowness, 10) - state.slowness);
+    state.meanMillis += MEAN_WEIGHT * (tookMillis - state.meanMillis);
   }
 
   /** Notes a request that failed at a server. */
@@ -81,13 +81,18 @@
     return state(server).outstanding;
   }
 
-  /** Returns the expected share of a server's slots that is taken, weighed by its slowness. */
+  /** Returns the mean time of a server's answers, in milliseconds. */
+  double meanMillis(String server) {
+    return state(server).meanMillis;
+  }
+
+  /** Returns the expected share of a server's slots that is taken. */
   double utilisation(ServerEntry entry) {
     State state = state(entry.incarnation().id());
     double ageMillis = clock.millis() - state.reportedAtMillis;
     double reported = state.reported * Math.pow(0.5, ageMillis / REPORT_HALF_LIFE_MILLIS);
     double load = Math.max(state.outstanding, reported);
-    return (load + 1) * state.slowness / Math.max(1, entry.slots());
+    return (load + 1) / Math.max(1, entry.slots());
   }
 
   /** Forgets servers that are gone. */
