Wire tests of the gateway; bytes after an answer and requests with two ends are refused

Cause, found by GatewayWireTest (red first): (1) bytes that followed an answer without forming one stayed in the decoder and spoiled the next answer on the connection; (2) a request with a length and chunks was passed on with the length dropped. Change: a connection with unread bytes carries no further request; such a request is answered 400.

--- a/core/src/main/java/io/nutmegseam/core/gateway/EngineSpec.java
+++ b/core/src/main/java/io/nutmegseam/core/gateway/EngineSpec.java
@@ -10,7 +10,7 @@
  * @param weightsMegabytes memory for weights and adapters
  * @param adapterSlots most adapters that a server holds
  * @param storeLoadsPerSecond most loads from the weight store over all servers
- * @param models the models, by name
+ * @param models the models, by name, in the order of the configuration
  */
 public record EngineSpec(
     int slots,
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayServer.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayServer.java
@@ -9,6 +9,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
 import io.nutmegseam.core.gateway.GatewayLimits;
@@ -104,7 +105,8 @@
       closing.closeFuture().addListener(closed -> connections.remove(connection));
       channel
           .pipeline()
-          .addLast(new HttpServerCodec(MAX_LINE_BYTES, limits.headerBytes(), CHUNK_BYTES))
+          .addLast(new StrictRequestDecoder(MAX_LINE_BYTES, limits.headerBytes(), CHUNK_BYTES))
+          .addLast(new HttpResponseEncoder())
           .addLast(new IdleStateHandler(0, 0, limits.idleTimeoutMillis(), TimeUnit.MILLISECONDS))
           .addLast(connection);
     }
--- a/node/src/main/java/io/nutmegseam/node/gateway/ServerConnection.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/ServerConnection.java
@@ -28,6 +28,7 @@
   private static final String KEEP_ALIVE_TIMEOUT = "timeout=";
 
   private final String idHeader;
+  private final AnswerDecoder decoder;
   private final Consumer<ServerConnection> onIdle;
   private Channel channel;
   private ResponseListener listener;
@@ -54,16 +55,18 @@
    * Creates the handler of a connection.
    *
    * @param idHeader header in which servers echo the id of a request
+   * @param decoder reads the answers of the connection
    * @param onIdle takes the connection when it can carry another request
    */
-  ServerConnection(String idHeader, Consumer<ServerConnection> onIdle) {
+  ServerConnection(String idHeader, AnswerDecoder decoder, Consumer<ServerConnection> onIdle) {
     this.idHeader = idHeader;
+    this.decoder = decoder;
     this.onIdle = onIdle;
   }
 
   /** Returns whether the connection can carry a request now. */
   boolean isUsable() {
-    return channel != null && channel.isActive() && listener == null;
+    return channel != null && channel.isActive() && listener == null && !decoder.hasUnreadBytes();
   }
 
   /** Returns how long the server keeps the connection while it is idle, in milliseconds. */
@@ -184,7 +187,8 @@
     ResponseListener done = listener;
     listener = null;
     headSeen = false;
-    boolean reusable = keepAlive && written.isSuccess() && channel.isActive();
+    boolean reusable =
+        keepAlive && written.isSuccess() && channel.isActive() && !decoder.hasUnreadBytes();
     if (reusable) {
       onIdle.accept(this);
     } else {
--- a/node/src/main/java/io/nutmegseam/node/gateway/ServerPool.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/ServerPool.java
@@ -8,7 +8,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.time.InstantSource;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -16,10 +15,6 @@
 
 /** Connections to one address. Confined to the traffic thread. */
 final class ServerPool {
-  private static final int MAX_LINE_BYTES = 8_192;
-  private static final int MAX_HEAD_BYTES = 65_536;
-  private static final int CHUNK_BYTES = 8_192;
-
   /** Servers close idle connections without a word; a request must not meet that moment. */
   private static final long IDLE_MARGIN_MILLIS = 1_500;
 
@@ -102,8 +97,10 @@
   }
 
   private void connect(Consumer<ServerConnection> ready, Consumer<String> failed) {
+    AnswerDecoder decoder = new AnswerDecoder();
     ServerConnection connection =
-        new ServerConnection(idHeader, freed -> idle.addLast(new Idle(freed, clock.millis())));
+        new ServerConnection(
+            idHeader, decoder, freed -> idle.addLast(new Idle(freed, clock.millis())));
     open++;
     new Bootstrap()
         .group(loop)
@@ -117,7 +114,7 @@
                 channel
                     .pipeline()
                     .addLast(new HttpRequestEncoder())
-                    .addLast(new HttpResponseDecoder(MAX_LINE_BYTES, MAX_HEAD_BYTES, CHUNK_BYTES))
+                    .addLast(decoder)
                     .addLast(connection);
               }
             })
--- /dev/null
+++ b/node/src/test/java/io/nutmegseam/node/gateway/EventAssemblerTest.java
@@ -0,0 +1,66 @@
+package io.nutmegseam.node.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class EventAssemblerTest {
+  private final StringBuilder passedOn = new StringBuilder();
+  private final EventAssembler assembler =
+      new EventAssembler(
+          ByteBufAllocator.DEFAULT,
+          event -> passedOn.append(event.toString(StandardCharsets.UTF_8)));
+
+  @Nested
+  class BrokenStream {
+    @Test
+    void should_hold_back_an_event_that_is_not_whole() {
+      // WHEN
+      feed("id: 1\ndata: a\n\nid: 2\nda");
+      // THEN
+      assertThat(passedOn).hasToString("id: 1\ndata: a\n\n");
+      assertThat(assembler.lastId()).contains("1");
+    }
+
+    @Test
+    void should_go_on_with_whole_events_of_another_server() {
+      // GIVEN
+      feed("id: 1\ndata: a\n\nid: 2\nda");
+      // WHEN
+      assembler.dropUnfinished();
+      feed("id: 2\ndata: b\n\n");
+      // THEN
+      assertThat(passedOn).hasToString("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+      assertThat(assembler.lastId()).contains("2");
+    }
+  }
+
+  @Nested
+  class Pieces {
+    @Test
+    void should_join_an_event_that_comes_byte_by_byte() {
+      String text = "id: 7\r\ndata: x\r\n\r\n";
+      text.chars().forEach(one -> feed(Character.toString(one)));
+      assertThat(passedOn).hasToString(text);
+      assertThat(assembler.lastId()).contains("7");
+    }
+
+    @Test
+    void should_pass_on_what_is_left_at_the_end_of_a_whole_answer() {
+      feed("data: no empty line\n");
+      assembler.end();
+      assertThat(passedOn).hasToString("data: no empty line\n");
+    }
+  }
+
+  private void feed(String text) {
+    ByteBuf piece = Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
+    assembler.accept(piece);
+    piece.release();
+  }
+}
--- /dev/null
+++ b/node/src/test/java/io/nutmegseam/node/gateway/GatewayWireTest.java
@@ -0,0 +1,305 @@
+package io.nutmegseam.node.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.nutmegseam.core.fleet.Fleet;
+import io.nutmegseam.core.fleet.ServerEntry;
+import io.nutmegseam.core.gateway.GatewayConfig;
+import io.nutmegseam.core.gateway.GatewayLimits;
+import io.nutmegseam.core.gateway.RequestKind;
+import io.nutmegseam.core.gateway.Route;
+import io.nutmegseam.core.gateway.ServiceShare;
+import io.nutmegseam.core.gateway.ServiceSpec;
+import io.nutmegseam.node.control.MonotonicClock;
+import io.nutmegseam.node.gateway.ScriptedServer.Ending;
+import io.nutmegseam.node.settings.HostPort;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.time.Clock;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What callers and servers see of the gateway on their sockets, with faulty servers. */
+class GatewayWireTest {
+  static final String ID = "id";
+  private static final String OK = "HTTP/1.1 200 OK\r\nid: {id}\r\nreceipt: r\r\n";
+  private static final String WHOLE = OK + "Content-Length: 5\r\n\r\nhello";
+  private static final GatewayHeaders HEADERS =
+      new GatewayHeaders(
+          ID,
+          "left",
+          "model",
+          "tokens",
+          "prompt",
+          "last",
+          "expect",
+          "not-run",
+          "receipt",
+          "load",
+          "priority",
+          Set.of("expect", "reserved"));
+
+  private final Clock clock = new MonotonicClock();
+  private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+  private final GatewayBoard board = new GatewayBoard();
+  private int port;
+
+  @BeforeEach
+  void startGateway() throws IOException {
+    EventLoop loop = group.next();
+    ServerLoads loads = new ServerLoads(clock);
+    TrafficContext context =
+        new TrafficContext(
+            loop,
+            clock,
+            HEADERS,
+            board,
+            new ServerPools(loop, ID, clock),
+            new ServerChooser("dc", loads, new Random(1), clock),
+            loads,
+            new RetryAllowance(0.2, 50, 10_000, 1, clock),
+            new WaitingRoom(() -> {}),
+            new ArrivalCounts(),
+            (kind, subject, detail) -> {},
+            new GatewayMetrics());
+    try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      port = probe.getLocalPort();
+    }
+    new GatewayServer(group, context).listen(new HostPort("127.0.0.1", port));
+  }
+
+  @AfterEach
+  void stopGateway() {
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+  }
+
+  @Nested
+  class Answers {
+    @ParameterizedTest
+    @CsvSource({
+      "by length, KEEP, Content-Length: 5||hello",
+      "in chunks, KEEP, Transfer-Encoding: chunked||5|hello|0||",
+      "by the end of the connection, CLOSE, X: y||hello"
+    })
+    void should_pass_on_a_whole_answer(String name, Ending ending, String rest) throws Exception {
+      try (ScriptedServer server = new ScriptedServer("a", OK + lines(rest), ending)) {
+        serve(RequestKind.NON_IDEMPOTENT, server);
+        String seen = call("POST", "1");
+        assertThat(seen).as(name).startsWith("HTTP/1.1 200").contains("receipt: r", "hello");
+        assertThat(isWhole(seen)).as(seen).isTrue();
+      }
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+      "short body, CLOSE, Content-Length: 9||hello",
+      "missing last chunk, CLOSE, Transfer-Encoding: chunked||5|hello|",
+      "reset without a length, RESET, X: y||hello"
+    })
+    void should_not_make_a_broken_answer_look_whole(String name, Ending ending, String rest)
+        throws Exception {
+      try (ScriptedServer server = new ScriptedServer("a", OK + lines(rest), ending)) {
+        serve(RequestKind.NON_IDEMPOTENT, server);
+        String seen = call("POST", "1");
+        assertThat(isWhole(seen) && seen.startsWith("HTTP/1.1 200")).as(name + seen).isFalse();
+      }
+    }
+
+    @Test
+    void should_refuse_a_success_without_a_receipt() throws Exception {
+      String bare = "HTTP/1.1 200 OK\r\nid: {id}\r\nContent-Length: 5\r\n\r\nhello";
+      try (ScriptedServer server = new ScriptedServer("a", bare, Ending.KEEP)) {
+        serve(RequestKind.NON_IDEMPOTENT, server);
+        assertThat(call("POST", "1")).startsWith("HTTP/1.1 502");
+      }
+    }
+
+    @Test
+    void should_drop_an_answer_to_another_request() throws Exception {
+      String crossed = WHOLE.replace("{id}", "other").replace("hello", "wrong") + WHOLE;
+      try (ScriptedServer server = new ScriptedServer("a", crossed, Ending.KEEP)) {
+        serve(RequestKind.NON_IDEMPOTENT, server);
+        assertThat(call("POST", "1")).contains("hello").doesNotContain("wrong");
+      }
+    }
+
+    @Test
+    void should_not_give_bytes_after_an_answer_to_the_next_request() throws Exception {
+      try (ScriptedServer server = new ScriptedServer("a", WHOLE + "junk", Ending.KEEP)) {
+        serve(RequestKind.NON_IDEMPOTENT, server);
+        call("POST", "1");
+        assertThat(call("POST", "2")).startsWith("HTTP/1.1 200").contains("id: 2", "hello");
+      }
+    }
+  }
+
+  @Nested
+  class Promises {
+    @Test
+    void should_say_not_run_only_if_the_server_proves_it() throws Exception {
+      String full = "HTTP/1.1 503 No\r\nid: {id}\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n";
+      try (ScriptedServer server = new ScriptedServer("a", full, Ending.KEEP)) {
+        serve(RequestKind.NON_IDEMPOTENT, server);
+        String seen = call("POST", "1");
+        assertThat(seen).startsWith("HTTP/1.1 503").containsIgnoringCase("retry-after");
+        assertThat(seen).doesNotContain("receipt");
+      }
+    }
+
+    @Test
+    void should_promise_nothing_and_not_repeat_after_a_reset() throws Exception {
+      try (ScriptedServer one = new ScriptedServer("a", "", Ending.RESET);
+          ScriptedServer other = new ScriptedServer("b", "", Ending.RESET)) {
+        serve(RequestKind.NON_IDEMPOTENT, one, other);
+        assertThat(call("POST", "1")).startsWith("HTTP/1.1 502");
+        assertThat(one.requests().size() + other.requests().size()).isEqualTo(1);
+      }
+    }
+
+    @Test
+    void should_repeat_an_idempotent_request_at_another_server_after_a_reset() throws Exception {
+      try (ScriptedServer broken = new ScriptedServer("a", "", Ending.RESET);
+          ScriptedServer sound = new ScriptedServer("b", WHOLE, Ending.KEEP)) {
+        serve(RequestKind.IDEMPOTENT, broken, sound);
+        for (int i = 0; i < 8; i++) {
+          assertThat(call("GET", "r" + i)).startsWith("HTTP/1.1 200");
+        }
+        assertThat(broken.requests()).isNotEmpty();
+      }
+    }
+
+    @Test
+    void should_refuse_at_once_if_no_server_listens() throws Exception {
+      ScriptedServer gone = new ScriptedServer("a", WHOLE, Ending.KEEP);
+      gone.close();
+      serve(RequestKind.NON_IDEMPOTENT, gone);
+      assertThat(call("POST", "1")).startsWith("HTTP/1.1 503");
+    }
+  }
+
+  @Nested
+  class Requests {
+    @Test
+    void should_name_the_expected_server_and_the_time_left() throws Exception {
+      try (ScriptedServer server = new ScriptedServer("a", WHOLE, Ending.KEEP)) {
+        serve(RequestKind.NON_IDEMPOTENT, server);
+        call("POST", "1");
+        String head = server.requests().get(0);
+        assertThat(ScriptedServer.header(head, "expect")).isEqualTo("a");
+        assertThat(Long.parseLong(ScriptedServer.header(head, "left"))).isBetween(1L, 1_000L);
+        assertThat(head).startsWith("POST /p/x?q=1 HTTP/1.1").doesNotContain("reserved");
+      }
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+      "two lengths, Content-Length: 1|Content-Length: 2",
+      "length and chunks, Content-Length: 1|Transfer-Encoding: chunked",
+      "unknown coding, Transfer-Encoding: gzip"
+    })
+    void should_refuse_a_request_with_an_unclear_end(String name, String heads) throws Exception {
+      try (ScriptedServer server = new ScriptedServer("a", WHOLE, Ending.KEEP)) {
+        serve(RequestKind.NON_IDEMPOTENT, server);
+        String request = "POST /p/x HTTP/1.1\r\nHost: h\r\nid: 1\r\n" + lines(heads) + "\r\n\r\nx";
+        assertThat(exchange(request)).as(name).startsWith("HTTP/1.1 400");
+        assertThat(server.requests()).isEmpty();
+      }
+    }
+
+    @Test
+    void should_answer_404_without_a_route_and_503_without_a_configuration() throws Exception {
+      assertThat(call("POST", "1")).startsWith("HTTP/1.1 503");
+      serve(RequestKind.NON_IDEMPOTENT);
+      assertThat(exchange("GET /other HTTP/1.1\r\nHost: h\r\nid: 1\r\n\r\n"))
+          .startsWith("HTTP/1.1 404");
+    }
+  }
+
+  private void serve(RequestKind kind, ScriptedServer... servers) {
+    Route route =
+        new Route(
+            "r",
+            "h",
+            "/p/",
+            kind,
+            false,
+            1_000,
+            300,
+            1_000,
+            0,
+            2,
+            List.of(new ServiceShare("s", 1)));
+    board.setConfig(
+        new GatewayConfig(
+            1,
+            List.of(route),
+            Map.of("s", new ServiceSpec("s", 10, Optional.empty())),
+            new GatewayLimits(8_192, 8_192, 1_000, 5_000)));
+    Map<String, ServerEntry> entries = new HashMap<>();
+    for (ScriptedServer server : servers) {
+      ServerEntry entry = server.entry("s");
+      entries.put(entry.incarnation().id(), entry);
+    }
+    board.setFleet(new Fleet(entries));
+  }
+
+  private String call(String method, String id) throws IOException {
+    return exchange(
+        method
+            + " /p/x?q=1 HTTP/1.1\r\nHost: h\r\nreserved: 1\r\nConnection: close\r\nid: "
+            + id
+            + "\r\n\r\n");
+  }
+
+  /** Returns all that the gateway sends until it closes the connection. */
+  private String exchange(String request) throws IOException {
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      socket.setSoTimeout(3_000);
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+      StringBuilder seen = new StringBuilder();
+      byte[] buffer = new byte[4_096];
+      try {
+        int read = socket.getInputStream().read(buffer);
+        while (read >= 0) {
+          seen.append(new String(buffer, 0, read, StandardCharsets.UTF_8));
+          if (!request.contains("Connection: close") && seen.toString().contains("\r\n\r\n")) {
+            break;
+          }
+          read = socket.getInputStream().read(buffer);
+        }
+      } catch (SocketTimeoutException e) {
+        seen.append("(no end)");
+      }
+      return seen.toString();
+    }
+  }
+
+  private static boolean isWhole(String seen) {
+    int body = seen.indexOf("\r\n\r\n") + 4;
+    String length = ScriptedServer.header(seen.substring(0, body), "content-length");
+    return length.isEmpty()
+        ? seen.endsWith("0\r\n\r\n")
+        : seen.length() - body == Integer.parseInt(length);
+  }
+
+  private static String lines(String text) {
+    return text.replace("|", "\r\n");
+  }
+}
--- /dev/null
+++ b/node/src/test/java/io/nutmegseam/node/gateway/RetryAllowanceTest.java
@@ -0,0 +1,57 @@
+package io.nutmegseam.node.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class RetryAllowanceTest {
+  private static final double RATIO = 0.2;
+  private static final double SLACK = 60;
+  private static final long WINDOW_MILLIS = 10_000;
+
+  private final TestClock clock = new TestClock();
+
+  @Nested
+  class RetryStorm {
+    @Property(tries = 50)
+    void should_keep_all_nodes_together_under_the_shared_limit(
+        @ForAll @IntRange(min = 1, max = 84) int nodes,
+        @ForAll @IntRange(min = 0, max = 50) int requestsEach) {
+      // GIVEN
+      int repeats = 0;
+      for (int node = 0; node < nodes; node++) {
+        RetryAllowance allowance = allowance(nodes);
+        for (int i = 0; i < requestsEach; i++) {
+          allowance.onFirst("s");
+        }
+        // WHEN
+        while (allowance.tryAgain("s")) {
+          repeats++;
+        }
+      }
+      // THEN
+      assertThat((double) repeats).isLessThanOrEqualTo(RATIO * nodes * requestsEach + SLACK);
+    }
+
+    @Test
+    void should_allow_repeats_again_when_the_window_has_passed() {
+      // GIVEN
+      RetryAllowance allowance = allowance(1);
+      while (allowance.tryAgain("s")) {
+        clock.advance(1);
+      }
+      // WHEN
+      clock.advance(WINDOW_MILLIS);
+      // THEN
+      assertThat(allowance.tryAgain("s")).isTrue();
+    }
+  }
+
+  private RetryAllowance allowance(int nodes) {
+    return new RetryAllowance(RATIO, SLACK, WINDOW_MILLIS, nodes, clock);
+  }
+}
--- /dev/null
+++ b/node/src/test/java/io/nutmegseam/node/gateway/ScriptedServer.java
@@ -0,0 +1,122 @@
+package io.nutmegseam.node.gateway;
+
+import io.nutmegseam.core.fleet.Incarnation;
+import io.nutmegseam.core.fleet.Inventory;
+import io.nutmegseam.core.fleet.ServerEntry;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** A backend server on loopback that answers every request with the same bytes. */
+final class ScriptedServer implements AutoCloseable {
+  private final String id;
+  private final String answer;
+  private final Ending ending;
+  private final ServerSocket listener;
+  private final List<String> requests = new CopyOnWriteArrayList<>();
+
+  /** What the server does after its bytes. */
+  enum Ending {
+    KEEP,
+    CLOSE,
+    RESET
+  }
+
+  ScriptedServer(String id, String answer, Ending ending) throws IOException {
+    this.id = id;
+    this.answer = answer;
+    this.ending = ending;
+    this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    Thread acceptor = new Thread(this::accept, "scripted-" + id);
+    acceptor.setDaemon(true);
+    acceptor.start();
+  }
+
+  ServerEntry entry(String service) {
+    return new ServerEntry(
+        new Incarnation(id, 1),
+        service,
+        "127.0.0.1",
+        listener.getLocalPort(),
+        "dc",
+        4,
+        false,
+        new Inventory(0, false, Map.of(), Set.of(), Set.of()));
+  }
+
+  /** Returns the heads of the requests that have arrived. */
+  List<String> requests() {
+    return List.copyOf(requests);
+  }
+
+  @Override
+  public void close() throws IOException {
+    listener.close();
+  }
+
+  private void accept() {
+    while (!listener.isClosed()) {
+      try {
+        Socket socket = listener.accept();
+        Thread worker = new Thread(() -> serve(socket), "scripted-connection");
+        worker.setDaemon(true);
+        worker.start();
+      } catch (IOException e) {
+        return;
+      }
+    }
+  }
+
+  private void serve(Socket socket) {
+    try (socket) {
+      String head = readHead(socket.getInputStream());
+      while (!head.isEmpty()) {
+        requests.add(head);
+        String id = header(head, GatewayWireTest.ID);
+        byte[] bytes = answer.replace("{id}", id).getBytes(StandardCharsets.UTF_8);
+        socket.getOutputStream().write(bytes);
+        socket.getOutputStream().flush();
+        if (ending != Ending.KEEP) {
+          socket.setSoLinger(ending == Ending.RESET, 0);
+          return;
+        }
+        head = readHead(socket.getInputStream());
+      }
+    } catch (IOException e) {
+      requests.add("");
+    }
+  }
+
+  static String header(String head, String name) {
+    for (String line : head.split("\r\n", -1)) {
+      if (line.toLowerCase(java.util.Locale.ROOT).startsWith(name + ": ")) {
+        return line.substring(name.length() + 2);
+      }
+    }
+    return "";
+  }
+
+  /** Reads a request whose body, if any, has a length. */
+  private static String readHead(InputStream in) throws IOException {
+    StringBuilder head = new StringBuilder();
+    while (head.indexOf("\r\n\r\n") < 0) {
+      int next = in.read();
+      if (next < 0) {
+        return "";
+      }
+      head.append((char) next);
+    }
+    String length = header(head.toString(), "content-length");
+    if (!length.isEmpty()) {
+      in.readNBytes(Integer.parseInt(length));
+    }
+    return head.toString();
+  }
+}
--- /dev/null
+++ b/node/src/test/java/io/nutmegseam/node/gateway/TestClock.java
@@ -0,0 +1,23 @@
+package io.nutmegseam.node.gateway;
+
+import java.time.Instant;
+import java.time.InstantSource;
+
+/** A clock that stands still until it is advanced. */
+final class TestClock implements InstantSource {
+  private long nowMillis;
+
+  @Override
+  public Instant instant() {
+    return Instant.ofEpochMilli(nowMillis);
+  }
+
+  @Override
+  public long millis() {
+    return nowMillis;
+  }
+
+  void advance(long millis) {
+    nowMillis += millis;
+  }
+}
