Models in demand get replicas before rare ones; requests beyond a queue of their target are refused

Ruled out: lost orders alone (seven other servers went on swapping). Change: replicas are placed first, away from other models in demand; a copy that already serves is no reason to wait for it; a request whose least loaded server has a queue longer than its target is refused with 429 and a spread Retry-After; the queue shows as the age of the oldest unanswered request.

--- a/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
@@ -37,8 +37,8 @@
   public Plan plan(SwapView view) {
     Round round = new Round(view);
     round.dropFinished();
-    round.placeWaiting();
     round.placeReplicas();
+    round.placeWaiting();
     round.placeUnseen();
     round.advance();
     List<ModelOrder> adapters = AdapterPlanner.plan(view, round.orderedServers());
@@ -108,15 +108,19 @@
       waiting.forEach(this::place);
     }
 
+    /**
+     * Gives models in high demand their replicas. They go before models that few requests wait for,
+     * which else take every server that becomes free.
+     */
     private void placeReplicas() {
       List<String> wanting = new ArrayList<>();
       for (String model : view.engine().models().keySet()) {
         double ratePerSecond = view.totalDemand(model).ratePerSecond();
-        if (view.replicas(model) < ReplicaGoal.wanted(ratePerSecond, view.engine().slots())) {
+        int wanted = ReplicaGoal.wanted(ratePerSecond, view.engine().slots());
+        if (wanted > 1 && view.replicas(model) < wanted) {
           wanting.add(model);
         }
       }
-      wanting.removeIf(model -> view.totalDemand(model).ratePerSecond() < 1);
       wanting.sort(
           Comparator.<String>comparingDouble(m -> -view.totalDemand(m).ratePerSecond())
               .thenComparing(Comparator.naturalOrder()));
@@ -149,6 +153,7 @@
               .filter(s -> storeLoadsLeft > 0 || source(s, model) != LoadSource.STORE)
               .min(
                   Comparator.<ServerWork>comparingLong(s -> expectedMillis(s, spec))
+                      .thenComparingDouble(this::heldRate)
                       .thenComparingInt(s -> s.entry().inventory().onDisk().size())
                       .thenComparing(ServerWork::id));
       if (best.isEmpty()) {
@@ -167,6 +172,7 @@
     private boolean copyIsFreeSoon(String model) {
       return view.servers().stream()
           .filter(s -> !s.entry().draining() && source(s, model) != LoadSource.STORE)
+          .filter(s -> !s.serves(model))
           .anyMatch(s -> s.pendingUntilMillis() - view.nowMillis() < MAX_WAIT_FOR_COPY_MILLIS);
     }
 
@@ -176,6 +182,13 @@
       return free + evictable >= spec.weightsMegabytes();
     }
 
+    /** Returns the requests a second for the models that a server holds, shared by replicas. */
+    private double heldRate(ServerWork server) {
+      return server.entry().inventory().adaptersByModel().keySet().stream()
+          .mapToDouble(m -> view.totalDemand(m).ratePerSecond() / Math.max(1, view.replicas(m)))
+          .sum();
+    }
+
     private LoadSource source(ServerWork server, String model) {
       return LoadSource.of(server.entry().inventory(), model);
     }
--- a/core/src/test/java/io/nutmegseam/core/orders/SwapPlannerTest.java
+++ b/core/src/test/java/io/nutmegseam/core/orders/SwapPlannerTest.java
@@ -77,6 +77,43 @@
     }
   }
 
+  /** Pattern: demand moves to a model with one replica while many rare models are waited for. */
+  @Nested
+  class ShiftOfDemand {
+    @Test
+    void should_give_a_model_in_demand_its_replica_before_a_rare_model() {
+      // GIVEN one free server, which has only the rare model on its disk
+      SwapView view =
+          view(
+              List.of(
+                  server("s1", Set.of("busy"), Set.of("busy")),
+                  server("s2", Set.of(), Set.of("rare"))),
+              Map.of(ref("busy"), rate(40), ref("rare"), waiting(1, 1_000)));
+      // WHEN
+      List<ModelOrder> orders = planner.plan(view).orders();
+      // THEN
+      assertThat(orders).extracting(ModelOrder::ref).contains(ref("busy"));
+    }
+
+    @Test
+    void should_not_put_the_replica_beside_another_model_in_demand() {
+      SwapView view =
+          new SwapView(
+              engine("busy", "other"),
+              List.of(
+                  server("s1", Set.of("busy"), Set.of("busy")),
+                  server("s2", Set.of("other"), Set.of("busy", "other")),
+                  server("s3", Set.of("other"), Set.of("busy", "other")),
+                  server("s4", Set.of(), Set.of("busy"))),
+              Map.of(ref("busy"), rate(10), ref("other"), rate(12)),
+              0,
+              0);
+      assertThat(planner.plan(view).orders())
+          .extracting(order -> order.server().id())
+          .containsExactly("s4");
+    }
+  }
+
   @Nested
   class WeightStore {
     @Test
--- a/node/src/main/java/io/nutmegseam/node/gateway/Attempt.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/Attempt.java
@@ -100,7 +100,7 @@
    * @param maxIdleMillis longest time that a reused connection may have been idle
    */
   void start(long maxIdleMillis) {
-    context.loads().onSent(serverId());
+    context.loads().onSent(serverId(), this);
     context
         .pools()
         .pool(server.host(), server.port())
@@ -127,6 +127,7 @@
   @Override
   public void onHead(HttpResponse head) {
     readLoad(head);
+    context.loads().onHead(serverId(), this);
     boolean success = head.status().codeClass() == HttpStatusClass.SUCCESS;
     boolean serverError = head.status().codeClass() == HttpStatusClass.SERVER_ERROR;
     if (success && !head.headers().contains(context.headers().receipt())) {
@@ -199,7 +200,7 @@
 
   private void end() {
     state = State.ENDED;
-    context.loads().onDone(serverId());
+    context.loads().onDone(serverId(), this);
   }
 
   private String serverId() {
--- a/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
@@ -26,6 +26,8 @@
   /** A server that has no room is passed over for this time. */
   private static final long FULL_PAUSE_MILLIS = 300;
 
+  private static final long MIN_RETRY_AFTER_MILLIS = 500;
+
   /** When callers of a request that found no room are told to come back. */
   private static final long RETRY_AFTER_FULL_MILLIS = 1_000;
 
@@ -163,7 +165,9 @@
 
   private void dispatch() {
     Optional<ServerEntry> chosen = choose();
-    if (chosen.isPresent()) {
+    if (chosen.isPresent() && isTooLate(chosen.get())) {
+      refuse(GatewayErrors.queueTooLong(what(), route.targetLatencyMillis(), spreadMillis()));
+    } else if (chosen.isPresent()) {
       leaveRoom();
       offers++;
       attempt = new Attempt(context, chosen.get(), this);
@@ -179,6 +183,21 @@
     }
   }
 
+  /**
+   * Returns whether the least loaded server has a queue in which the request would miss its target.
+   * Requests beyond what servers can answer in time would else make all of them late.
+   */
+  private boolean isTooLate(ServerEntry server) {
+    return route.kind() == RequestKind.STREAMING
+        && !mayHaveRun
+        && context.loads().queueMillis(server.incarnation().id()) > route.targetLatencyMillis();
+  }
+
+  /** Callers that are refused together should not come back together. */
+  private static long spreadMillis() {
+    return MIN_RETRY_AFTER_MILLIS + ThreadLocalRandom.current().nextLong(RETRY_AFTER_FULL_MILLIS);
+  }
+
   private Optional<ServerEntry> choose() {
     ServerChooser.Need need = new ServerChooser.Need(service, ref, affinity(), tried);
     return context.chooser().choose(context.board().fleet(), need);
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayErrors.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayErrors.java
@@ -53,6 +53,14 @@
         expectedMillis);
   }
 
+  /** The queues of all servers are longer than the target of the route. */
+  static ServeException queueTooLong(String what, long targetMillis, long retryAfterMillis) {
+    return new ServeException(
+        ErrorKind.QUEUE_FULL,
+        "%s: no server answers within the target of %d ms".formatted(what, targetMillis),
+        retryAfterMillis);
+  }
+
   /** The deadline passed before the request was sent. */
   static ServeException expired(Route route, long waitedMillis) {
     return new ServeException(
--- a/node/src/main/java/io/nutmegseam/node/gateway/ServerChooser.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/ServerChooser.java
@@ -19,6 +19,9 @@
   /** Load that a cached prompt is worth, as a share of a server's slots. */
   private static final double AFFINITY_SLACK = 0.25;
 
+  /** A queue of this length is as bad as a server whose slots are all taken, in milliseconds. */
+  private static final double QUEUE_MILLIS_PER_SLOT_SHARE = 1_000;
+
   /** A server in another data centre is worse by this share of its slots. */
   private static final double DISTANCE_PENALTY = 0.02;
 
@@ -101,7 +104,8 @@
 
   private double cost(ServerEntry entry) {
     double distance = entry.dataCentre().equals(dataCentre) ? 0 : DISTANCE_PENALTY;
-    return loads.utilisation(entry) + distance;
+    double queue = loads.queueMillis(id(entry)) / QUEUE_MILLIS_PER_SLOT_SHARE;
+    return loads.utilisation(entry) + distance + queue;
   }
 
   private static String id(ServerEntry entry) {
--- a/node/src/main/java/io/nutmegseam/node/gateway/ServerLoads.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/ServerLoads.java
@@ -4,6 +4,7 @@
 import io.nutmegseam.core.routing.OutlierEjection;
 import java.time.InstantSource;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 
 /** What this node knows of each server's load and failures. Confined to the traffic thread. */
@@ -11,6 +12,9 @@
   /** A report loses its weight as the requests that it counted end. */
   private static final double REPORT_HALF_LIFE_MILLIS = 600;
 
+  /** Fewer requests that await an answer may be slow for reasons of their own. */
+  private static final int MIN_AWAITING = 2;
+
   /** Weight of the newest response time in the running mean. */
   private static final double MEAN_WEIGHT = 0.2;
 
@@ -19,6 +23,7 @@
   private OutlierEjection ejection = OutlierEjection.none();
 
   private static final class State {
+    private final Map<Object, Long> awaitingSinceMillis = new LinkedHashMap<>();
     private int outstanding;
     private int reported;
     private long reportedAtMillis;
@@ -36,14 +41,33 @@
   }
 
   /** Notes a request that goes to a server. */
-  void onSent(String server) {
-    state(server).outstanding++;
+  void onSent(String server, Object request) {
+    State state = state(server);
+    state.outstanding++;
+    state.awaitingSinceMillis.put(request, clock.millis());
+  }
+
+  /** Notes that a server begins to answer a request. */
+  void onHead(String server, Object request) {
+    state(server).awaitingSinceMillis.remove(request);
   }
 
   /** Notes the end of a request at a server. */
-  void onDone(String server) {
+  void onDone(String server, Object request) {
     State state = state(server);
     state.outstanding = Math.max(0, state.outstanding - 1);
+    state.awaitingSinceMillis.remove(request);
+  }
+
+  /**
+   * Returns how long the oldest request has waited for the beginning of its answer, in
+   * milliseconds; 0 if fewer requests wait than show a queue.
+   */
+  long queueMillis(String server) {
+    Map<Object, Long> awaiting = state(server).awaitingSinceMillis;
+    return awaiting.size() < MIN_AWAITING
+        ? 0
+        : clock.millis() - awaiting.values().iterator().next();
   }
 
   /** Notes the running and queued requests that a server reports. */
--- /dev/null
+++ b/node/src/test/java/io/nutmegseam/node/gateway/ServerLoadsTest.java
@@ -0,0 +1,62 @@
+package io.nutmegseam.node.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class ServerLoadsTest {
+  private final TestClock clock = new TestClock();
+  private final ServerLoads loads = new ServerLoads(clock);
+
+  /** Pattern: more requests for one model arrive than its servers answer. */
+  @Nested
+  class Overload {
+    @Test
+    void should_tell_a_queue_by_its_oldest_request() {
+      // GIVEN
+      loads.onSent("s", "r1");
+      clock.advance(300);
+      loads.onSent("s", "r2");
+      // WHEN
+      clock.advance(200);
+      // THEN
+      assertThat(loads.queueMillis("s")).isEqualTo(500);
+    }
+
+    @Test
+    void should_see_a_shorter_queue_when_the_oldest_request_is_answered() {
+      loads.onSent("s", "r1");
+      clock.advance(300);
+      loads.onSent("s", "r2");
+      loads.onSent("s", "r3");
+      clock.advance(200);
+      loads.onHead("s", "r1");
+      assertThat(loads.queueMillis("s")).isEqualTo(200);
+    }
+
+    @Test
+    void should_not_take_one_slow_request_for_a_queue() {
+      loads.onSent("s", "r1");
+      clock.advance(5_000);
+      assertThat(loads.queueMillis("s")).isZero();
+    }
+  }
+
+  @Nested
+  class FailingServer {
+    @Test
+    void should_avoid_a_server_for_a_time_after_failures_in_a_row() {
+      // GIVEN
+      for (int i = 0; i < 3; i++) {
+        loads.onFailed("s");
+      }
+      // WHEN
+      boolean avoided = loads.isAvoided("s");
+      clock.advance(6_000);
+      // THEN
+      assertThat(avoided).isTrue();
+      assertThat(loads.isAvoided("s")).isFalse();
+    }
+  }
+}
