A busy server with a copy is kept for the model that needs it

Ruled out: the limit on store loads (four ran throughout). Change: a model reserves the server that can have it loaded first, also one that is busy.

--- a/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
@@ -20,8 +20,8 @@
   /** Time that an unload waits for the requests that still run, in milliseconds. */
   private static final long UNLOAD_MILLIS = 400;
 
-  /** A load from the store is preferred if the server with a copy is busy for longer than this. */
-  private static final long MAX_WAIT_FOR_COPY_MILLIS = 4_000;
+  /** Time that an order which this node did not give may still take, in milliseconds. */
+  private static final long UNKNOWN_ORDER_MILLIS = 1_000;
 
   private final Map<String, String> serverByModel = new HashMap<>();
 
@@ -141,6 +141,10 @@
       }
     }
 
+    /**
+     * Gives a model the server that can have loaded it first. A server that is busy may be the best
+     * one for its copy of the weights; it is then kept for the model.
+     */
     private void place(String model) {
       if (serverByModel.containsKey(model)) {
         return;
@@ -148,32 +152,32 @@
       ModelSpec spec = view.engine().models().get(model);
       Optional<ServerWork> best =
           view.servers().stream()
-              .filter(s -> s.isFree() && !takenServers.contains(s.id()))
+              .filter(s -> !s.entry().draining() && !takenServers.contains(s.id()))
               .filter(s -> !s.serves(model) && hasRoom(s, spec))
-              .filter(s -> storeLoadsLeft > 0 || source(s, model) != LoadSource.STORE)
+              .filter(s -> source(s, model) != LoadSource.STORE || mayUseStore(s))
               .min(
-                  Comparator.<ServerWork>comparingLong(s -> expectedMillis(s, spec))
+                  Comparator.<ServerWork>comparingLong(s -> readyMillis(s, spec))
                       .thenComparingDouble(this::heldRate)
                       .thenComparingInt(s -> s.entry().inventory().onDisk().size())
                       .thenComparing(ServerWork::id));
-      if (best.isEmpty()) {
-        return;
-      }
-      boolean fromStore = source(best.get(), model) == LoadSource.STORE;
-      if (fromStore && copyIsFreeSoon(model)) {
-        return;
+      if (best.isPresent()) {
+        storeLoadsLeft -= source(best.get(), model) == LoadSource.STORE ? 1 : 0;
+        serverByModel.put(model, best.get().id());
+        takenServers.add(best.get().id());
       }
-      storeLoadsLeft -= fromStore ? 1 : 0;
-      serverByModel.put(model, best.get().id());
-      takenServers.add(best.get().id());
     }
 
-    /** Returns whether a server with a copy of a model ends its order soon. */
-    private boolean copyIsFreeSoon(String model) {
-      return view.servers().stream()
-          .filter(s -> !s.entry().draining() && source(s, model) != LoadSource.STORE)
-          .filter(s -> !s.serves(model))
-          .anyMatch(s -> s.pendingUntilMillis() - view.nowMillis() < MAX_WAIT_FOR_COPY_MILLIS);
+    /** A load from the store begins only where it need not wait, so that it wastes no place. */
+    private boolean mayUseStore(ServerWork server) {
+      return storeLoadsLeft > 0 && server.isFree();
+    }
+
+    /** Returns when a server can have loaded a model, in monotonic milliseconds. */
+    private long readyMillis(ServerWork server, ModelSpec spec) {
+      long busyMillis = server.entry().inventory().busy() ? UNKNOWN_ORDER_MILLIS : 0;
+      return Math.max(view.nowMillis(), server.pendingUntilMillis())
+          + busyMillis
+          + expectedMillis(server, spec);
     }
 
     private boolean hasRoom(ServerWork server, ModelSpec spec) {
@@ -273,7 +277,7 @@
       }
       return Optional.ofNullable(serverByModel.get(model))
           .flatMap(this::server)
-          .map(s -> Math.max(view.nowMillis(), s.pendingUntilMillis()) + expectedMillis(s, spec))
+          .map(s -> readyMillis(s, spec))
           .or(() -> copyReady(spec));
     }
 
@@ -281,7 +285,7 @@
     private Optional<Long> copyReady(ModelSpec spec) {
       return view.servers().stream()
           .filter(s -> !s.entry().draining() && source(s, spec.name()) != LoadSource.STORE)
-          .map(s -> Math.max(view.nowMillis(), s.pendingUntilMillis()) + expectedMillis(s, spec))
+          .map(s -> readyMillis(s, spec))
           .min(Comparator.naturalOrder());
     }
   }
--- a/core/src/test/java/io/nutmegseam/core/orders/SwapPlannerTest.java
+++ b/core/src/test/java/io/nutmegseam/core/orders/SwapPlannerTest.java
@@ -114,6 +114,54 @@
     }
   }
 
+  /** Pattern: servers are replaced by empty ones, and the last copies are on busy servers. */
+  @Nested
+  class ServersReplaced {
+    @Test
+    void should_keep_a_busy_server_with_a_copy_for_a_model_in_demand() {
+      // GIVEN the only copy on a server that is busy for a second more
+      ServerWork busyServer = server("s1", Set.of(), Set.of("busy", "rare"));
+      ModelOrder pending =
+          new ModelOrder(
+              busyServer.entry().incarnation(),
+              ModelOrder.Operation.LOAD,
+              ref("idle"),
+              LoadSource.DISK);
+      Map<ModelRef, ModelDemand> demand =
+          Map.of(ref("busy"), rate(40), ref("rare"), waiting(1, 500));
+      SwapView before =
+          view(
+              List.of(new ServerWork(busyServer.entry(), Optional.of(pending), 1_000, false)),
+              demand);
+      assertThat(planner.plan(before).orders()).isEmpty();
+      // WHEN it is free
+      List<ModelOrder> orders = planner.plan(view(List.of(busyServer), demand)).orders();
+      // THEN
+      assertThat(orders).extracting(ModelOrder::ref).containsExactly(ref("busy"));
+    }
+
+    @Test
+    void should_use_the_store_rather_than_wait_long_for_a_copy() {
+      ServerWork busyServer = server("s1", Set.of(), Set.of("busy"));
+      ModelOrder pending =
+          new ModelOrder(
+              busyServer.entry().incarnation(),
+              ModelOrder.Operation.LOAD,
+              ref("idle"),
+              LoadSource.STORE);
+      SwapView view =
+          view(
+              List.of(
+                  new ServerWork(busyServer.entry(), Optional.of(pending), 5_500, false),
+                  server("s2", Set.of(), Set.of("rare", "idle"))),
+              Map.of(ref("busy"), rate(40)));
+      assertThat(planner.plan(view).orders())
+          .filteredOn(order -> order.ref().equals(ref("busy")))
+          .allMatch(ModelOrder::isStoreLoad)
+          .hasSize(1);
+    }
+  }
+
   @Nested
   class WeightStore {
     @Test
