--- a/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
@@ -20,6 +20,9 @@
   /** Time that an unload waits for the requests that still run, in milliseconds. */
   private static final long UNLOAD_MILLIS = 400;
 
+  /** Stands for the replicas of a model that has none. */
+  private static final double NEARLY_NONE = 0.01;
+
   /** Time that an order which this node did not give may still take, in milliseconds. */
   private static final long UNKNOWN_ORDER_MILLIS = 1_000;
 
@@ -122,11 +125,16 @@
         }
       }
       wanting.sort(
-          Comparator.<String>comparingDouble(m -> -view.totalDemand(m).ratePerSecond())
+          Comparator.<String>comparingDouble(m -> -ratePerReplica(m))
               .thenComparing(Comparator.naturalOrder()));
       wanting.forEach(this::place);
     }
 
+    /** A model without a replica goes before every model that has one. */
+    private double ratePerReplica(String model) {
+      return view.totalDemand(model).ratePerSecond() / (view.replicas(model) + NEARLY_NONE);
+    }
+
     /**
      * Spends what is left of the weight store on models that no server has a copy of, in the order
      * in which the configuration lists them.
--- a/core/src/test/java/io/nutmegseam/core/orders/SwapPlannerTest.java
+++ b/core/src/test/java/io/nutmegseam/core/orders/SwapPlannerTest.java
@@ -162,6 +162,27 @@
     }
   }
 
+  /** Pattern: the servers of both models in demand are lost at once. */
+  @Nested
+  class ServersLost {
+    @Test
+    void should_load_each_model_in_demand_once_before_any_of_them_twice() {
+      // GIVEN one load from the store at a time, and one replica of the model asked for most
+      ServerWork first = server("s1", Set.of("busy"), Set.of("busy"));
+      SwapView view =
+          new SwapView(
+              engine("busy", "other"),
+              List.of(first, server("s2", Set.of(), Set.of())),
+              Map.of(ref("busy"), rate(40), ref("other"), rate(10)),
+              1,
+              0);
+      // WHEN
+      List<ModelOrder> orders = planner.plan(view).orders();
+      // THEN
+      assertThat(orders).extracting(ModelOrder::ref).containsExactly(ref("other"));
+    }
+  }
+
   @Nested
   class WeightStore {
     @Test
