Swaps are ordered by what they are worth to those who wait

Cause: with a burst of rare models the planner served the oldest request first, so that all were late. Tests: SwapPlannerTest, burst of rare models.

--- a/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
@@ -97,7 +97,10 @@
       return view.servers().stream().filter(s -> s.id().equals(id)).findFirst();
     }
 
-    /** Gives each model that requests wait for a server, the most urgent first. */
+    /**
+     * Gives each model that requests wait for a server: first those whose load answers most
+     * requests in time, then the most urgent.
+     */
     private void placeWaiting() {
       List<String> waiting = new ArrayList<>();
       for (String model : view.engine().models().keySet()) {
@@ -106,7 +109,8 @@
         }
       }
       waiting.sort(
-          Comparator.<String>comparingLong(m -> view.totalDemand(m).earliestDeadlineMillis())
+          Comparator.<String>comparingDouble(m -> -view.totalDemand(m).worth())
+              .thenComparingLong(m -> view.totalDemand(m).earliestDeadlineMillis())
               .thenComparing(Comparator.naturalOrder()));
       waiting.forEach(this::place);
     }
--- a/core/src/main/java/io/nutmegseam/core/orders/SwapView.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/SwapView.java
@@ -22,18 +22,13 @@
     long nowMillis) {
   /** Returns the demand of a model with all its adapters. */
   ModelDemand totalDemand(String model) {
-    int waiting = 0;
-    long earliestDeadlineMillis = Long.MAX_VALUE;
-    double ratePerSecond = 0;
+    ModelDemand total = ModelDemand.NONE;
     for (Map.Entry<ModelRef, ModelDemand> entry : demandByModel.entrySet()) {
       if (entry.getKey().model().equals(model)) {
-        ModelDemand demand = entry.getValue();
-        waiting += demand.waiting();
-        earliestDeadlineMillis = Math.min(earliestDeadlineMillis, demand.earliestDeadlineMillis());
-        ratePerSecond += demand.ratePerSecond();
+        total = total.plus(entry.getValue());
       }
     }
-    return new ModelDemand(waiting, earliestDeadlineMillis, ratePerSecond);
+    return total;
   }
 
   /** Returns the number of servers that serve a model or are loading it. */
--- a/core/src/test/java/io/nutmegseam/core/orders/SwapPlannerTest.java
+++ b/core/src/test/java/io/nutmegseam/core/orders/SwapPlannerTest.java
@@ -114,6 +114,34 @@
     }
   }
 
+  /** Pattern: a burst asks for more rare models than servers can swap in time. */
+  @Nested
+  class BurstOfRareModels {
+    @Test
+    void should_load_the_model_whose_request_can_still_be_answered_in_time() {
+      // GIVEN one server, a request that has missed its target and one that has not
+      SwapView view =
+          view(
+              List.of(server("s1", Set.of(), Set.of("idle", "rare"))),
+              Map.of(ref("idle"), Fleets.late(1, 2_000), ref("rare"), waiting(1, 9_000)));
+      // WHEN
+      List<ModelOrder> orders = planner.plan(view).orders();
+      // THEN
+      assertThat(orders).extracting(ModelOrder::ref).containsExactly(ref("rare"));
+    }
+
+    @Test
+    void should_load_the_more_urgent_of_two_models_alike() {
+      SwapView view =
+          view(
+              List.of(server("s1", Set.of(), Set.of("idle", "rare"))),
+              Map.of(ref("idle"), waiting(1, 2_000), ref("rare"), waiting(1, 9_000)));
+      assertThat(planner.plan(view).orders())
+          .extracting(ModelOrder::ref)
+          .containsExactly(ref("idle"));
+    }
+  }
+
   /** Pattern: servers are replaced by empty ones, and the last copies are on busy servers. */
   @Nested
   class ServersReplaced {
--- a/node/src/main/java/io/nutmegseam/node/gateway/DemandBook.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/DemandBook.java
@@ -27,10 +27,12 @@
    *
    * @param key the model
    * @param waiting requests that wait for it
+   * @param fresh those of them that a swap would still answer within their target
    * @param earliestDeadlineMillis monotonic time until which the first of them can wait
    * @param arrivals requests since the last report
    */
-  record Ask(WaitingRoom.Key key, int waiting, long earliestDeadlineMillis, int arrivals) {}
+  record Ask(
+      WaitingRoom.Key key, int waiting, int fresh, long earliestDeadlineMillis, int arrivals) {}
 
   private record Report(List<Ask> asks, long atMillis) {}
 
@@ -74,7 +76,7 @@
     rateByModel.forEach(
         (key, rate) -> {
           if (key.service().equals(service)) {
-            demand.put(key.ref(), new ModelDemand(0, Long.MAX_VALUE, rate.at(nowMillis)));
+            demand.put(key.ref(), new ModelDemand(0, 0, Long.MAX_VALUE, rate.at(nowMillis)));
           }
         });
     for (Report report : reportByNode.values()) {
@@ -82,21 +84,14 @@
         if (ask.key().service().equals(service)) {
           demand.merge(
               ask.key().ref(),
-              new ModelDemand(ask.waiting(), ask.earliestDeadlineMillis(), 0),
-              DemandBook::sum);
+              new ModelDemand(ask.waiting(), ask.fresh(), ask.earliestDeadlineMillis(), 0),
+              ModelDemand::plus);
         }
       }
     }
     return demand;
   }
 
-  private static ModelDemand sum(ModelDemand one, ModelDemand other) {
-    return new ModelDemand(
-        one.waiting() + other.waiting(),
-        Math.min(one.earliestDeadlineMillis(), other.earliestDeadlineMillis()),
-        one.ratePerSecond() + other.ratePerSecond());
-  }
-
   private void dropOld() {
     long nowMillis = clock.millis();
     reportByNode.values().removeIf(r -> nowMillis - r.atMillis() > REPORT_LIFE_MILLIS);
--- a/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
@@ -142,6 +142,11 @@
     return waitUntilMillis;
   }
 
+  @Override
+  public long targetMillis() {
+    return request.arrivedMillis() + route.targetLatencyMillis();
+  }
+
   @Override
   public void reconsider() {
     if (!done && attempt == null) {
--- a/node/src/main/java/io/nutmegseam/node/gateway/FleetPeers.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/FleetPeers.java
@@ -32,6 +32,7 @@
               .setWaiting(ask.waiting())
               .setEarliestRemainingMillis(
                   ask.waiting() == 0 ? 0 : ask.earliestDeadlineMillis() - nowMillis)
+              .setFresh(ask.fresh())
               .setArrivals(ask.arrivals()));
     }
     return message.build();
@@ -48,6 +49,7 @@
           new DemandBook.Ask(
               new WaitingRoom.Key(ask.getService(), ref),
               ask.getWaiting(),
+              ask.getFresh(),
               deadlineMillis,
               ask.getArrivals()));
     }
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
@@ -41,6 +41,9 @@
   private static final long NEWS_MILLIS = 100;
   private static final long STOP_POLL_MILLIS = 50;
 
+  /** Time of a swap from disk, with its orders; later requests are no longer in time. */
+  private static final long SWAP_MILLIS = 1_200;
+
   /** A stopping node keeps taking requests until the balancer has seen that it isn't ready. */
   private static final long STOP_LINGER_MILLIS = 2_500;
 
@@ -254,7 +257,8 @@
     Map<WaitingRoom.Key, List<WaitingRoom.Waiter>> waiting = traffic.room().waiting();
     Map<WaitingRoom.Key, DemandBook.Ask> asks = new HashMap<>();
     arrivals.forEach(
-        (key, count) -> asks.put(key, new DemandBook.Ask(key, 0, Long.MAX_VALUE, count)));
+        (key, count) -> asks.put(key, new DemandBook.Ask(key, 0, 0, Long.MAX_VALUE, count)));
+    long freshMillis = clock.millis() + SWAP_MILLIS;
     waiting.forEach(
         (key, waiters) -> {
           long earliest =
@@ -263,7 +267,8 @@
                   .min()
                   .orElse(Long.MAX_VALUE);
           int count = arrivals.getOrDefault(key, 0);
-          asks.put(key, new DemandBook.Ask(key, waiters.size(), earliest, count));
+          int fresh = (int) waiters.stream().filter(w -> w.targetMillis() > freshMillis).count();
+          asks.put(key, new DemandBook.Ask(key, waiters.size(), fresh, earliest, count));
         });
     return new ArrayList<>(asks.values());
   }
--- a/node/src/main/java/io/nutmegseam/node/gateway/WaitingRoom.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/WaitingRoom.java
@@ -21,6 +21,9 @@
     /** Returns the monotonic time until which the request can wait. */
     long deadlineMillis();
 
+    /** Returns the monotonic time until which an answer must begin to be in time. */
+    long targetMillis();
+
     /** Looks for a server again; the waiter leaves the room if it finds one. */
     void reconsider();
   }
