--- a/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
@@ -166,7 +166,7 @@
           view.servers().stream()
               .filter(s -> !s.entry().draining() && !takenServers.contains(s.id()))
               .filter(s -> !s.serves(model) && hasRoom(s, spec))
-              .filter(s -> source(s, model) != LoadSource.STORE || mayUseStore(s))
+              .filter(s -> source(s, model) != LoadSource.STORE || mayUseStore(s, model))
               .min(
                   Comparator.<ServerWork>comparingLong(s -> readyMillis(s, spec))
                       .thenComparingDouble(this::heldRate)
@@ -179,9 +179,14 @@
       }
     }
 
-    /** A load from the store begins only where it need not wait, so that it wastes no place. */
-    private boolean mayUseStore(ServerWork server) {
-      return storeLoadsLeft > 0 && server.isFree();
+    /**
+     * A load from the store begins only where it need not wait, and for a model of which there is a
+     * copy only if it is in high demand: such loads are few and keep their server for seconds.
+     */
+    private boolean mayUseStore(ServerWork server, String model) {
+      double ratePerSecond = view.totalDemand(model).ratePerSecond();
+      boolean inDemand = ReplicaGoal.wanted(ratePerSecond, view.engine().slots()) > 1;
+      return storeLoadsLeft > 0 && server.isFree() && (inDemand || !view.hasCopy(model));
     }
 
     /** Returns when a server can have loaded a model, in monotonic milliseconds. */
--- a/core/src/test/java/io/nutmegseam/core/orders/SwapPlannerTest.java
+++ b/core/src/test/java/io/nutmegseam/core/orders/SwapPlannerTest.java
@@ -168,6 +168,26 @@
       assertThat(orders).extracting(ModelOrder::ref).containsExactly(ref("busy"));
     }
 
+    @Test
+    void should_not_load_a_rare_model_from_the_store_while_its_copy_is_on_a_busy_server() {
+      ServerWork busyServer = server("s1", Set.of(), Set.of("rare"));
+      ModelOrder pending =
+          new ModelOrder(
+              busyServer.entry().incarnation(),
+              ModelOrder.Operation.LOAD,
+              ref("idle"),
+              LoadSource.STORE);
+      SwapView view =
+          view(
+              List.of(
+                  new ServerWork(busyServer.entry(), Optional.of(pending), 5_900, false),
+                  server("s2", Set.of("busy"), Set.of("busy"))),
+              Map.of(ref("rare"), waiting(1, 9_000)));
+      assertThat(planner.plan(view).orders())
+          .extracting(ModelOrder::ref)
+          .doesNotContain(ref("rare"));
+    }
+
     @Test
     void should_use_the_store_rather_than_wait_long_for_a_copy() {
       ServerWork busyServer = server("s1", Set.of(), Set.of("busy"));
