--- /dev/null
+++ b/node/src/main/java/io/nutmegseam/node/gateway/AnswerRelay.java
@@ -0,0 +1,83 @@
+package io.nutmegseam.node.gateway;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.nutmegseam.core.gateway.RequestKind;
+import io.nutmegseam.core.gateway.Route;
+import java.util.Optional;
+
+/**
+ * Passes the answer of one request on, which may be joined from the streams of several servers.
+ * Confined to the traffic thread.
+ */
+final class AnswerRelay {
+  private final AnswerWriter answer;
+  private EventAssembler assembler;
+  private boolean started;
+
+  /**
+   * Creates a relay.
+   *
+   * @param answer takes the answer
+   */
+  AnswerRelay(AnswerWriter answer) {
+    this.answer = answer;
+  }
+
+  /** Returns whether the head of an answer has been passed on. */
+  boolean isStarted() {
+    return started;
+  }
+
+  /** Passes on the head of the first server's answer. */
+  void onHead(HttpResponse head, Route route) {
+    if (started) {
+      return;
+    }
+    started = true;
+    HttpHeaders headers = ForwardedHeaders.toCaller(head.headers());
+    boolean fixedLength = headers.contains(HttpHeaderNames.CONTENT_LENGTH);
+    if (route.kind() == RequestKind.STREAMING && route.resumable() && !fixedLength) {
+      assembler = new EventAssembler(ByteBufAllocator.DEFAULT, answer::content);
+    }
+    answer.head(head.status(), headers);
+  }
+
+  /** Passes on a piece of the body. */
+  void onContent(ByteBuf content) {
+    if (assembler == null) {
+      answer.content(content);
+    } else {
+      assembler.accept(content);
+    }
+  }
+
+  /** Ends a whole answer. */
+  void end() {
+    if (assembler != null) {
+      assembler.end();
+    }
+    answer.end();
+  }
+
+  /** Returns the id of the last event after which another server can go on. */
+  Optional<String> lastEventId() {
+    return assembler == null ? Optional.empty() : assembler.lastId();
+  }
+
+  /** Drops an event that a server did not finish. */
+  void dropUnfinished() {
+    assembler.dropUnfinished();
+  }
+
+  /** Frees buffers. */
+  void release() {
+    if (assembler != null) {
+      assembler.release();
+      assembler = null;
+    }
+  }
+}
--- a/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
@@ -1,20 +1,13 @@
 package io.nutmegseam.node.gateway;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufAllocator;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.nutmegseam.core.error.Ran;
 import io.nutmegseam.core.error.ServeException;
-import io.nutmegseam.core.event.EventKind;
-import io.nutmegseam.core.fleet.ModelRef;
 import io.nutmegseam.core.fleet.ServerEntry;
-import io.nutmegseam.core.gateway.GatewayConfig;
 import io.nutmegseam.core.gateway.RequestKind;
-import io.nutmegseam.core.gateway.Route;
-import io.nutmegseam.core.gateway.ServiceSpec;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -36,9 +29,6 @@
 
   private static final long REPEATABLE_MAX_IDLE_MILLIS = 8_000;
 
-  /** Least time for a server to begin its answer. */
-  private static final long SERVICE_MILLIS = 100;
-
   /** A repeatable request without an answer goes elsewhere after this multiple of its target. */
   private static final int SILENCE_TARGETS = 3;
 
@@ -50,24 +40,20 @@
   private final TrafficContext context;
   private final InboundRequest request;
   private final AnswerWriter answer;
+  private final AnswerRelay relay;
   private final Runnable onDone;
   private final String id;
+  private final RequestLog log;
   private final Set<String> tried = new HashSet<>();
 
-  private Route route;
-  private String service = "";
-  private Optional<ModelRef> ref = Optional.empty();
-  private long deadlineMillis;
-  private long waitUntilMillis;
+  private RequestPlan plan;
   private ScheduledFuture<?> deadlineTimer;
   private ScheduledFuture<?> silenceTimer;
   private WaitingRoom.Key waitingFor;
   private Attempt attempt;
-  private EventAssembler assembler;
   private int offers;
   private int runs;
   private boolean mayHaveRun;
-  private boolean headSent;
   private boolean done;
 
   /**
@@ -82,50 +68,43 @@
     this.context = context;
     this.request = request;
     this.answer = answer;
+    this.relay = new AnswerRelay(answer);
     this.onDone = onDone;
     this.id = request.headers().get(context.headers().requestId(), "");
+    this.log = new RequestLog(context.events(), context.clock(), id, request.arrivedMillis());
   }
 
   /** Routes the request and sends it to a server. */
   void start() {
-    Optional<GatewayConfig> config = context.board().config();
-    if (config.isEmpty()) {
-      refuse(GatewayErrors.notReady(RETRY_AFTER_FULL_MILLIS));
-      return;
-    }
-    Optional<Route> found = config.get().route(request.host(), request.path());
-    if (found.isEmpty()) {
-      refuse(GatewayErrors.noRoute(request, config.get().version()));
-      return;
-    }
-    route = found.get();
-    service = route.service(ThreadLocalRandom.current().nextDouble());
-    Optional<Long> timeLeft = timeLeftMillis();
-    if (timeLeft.isEmpty()) {
-      String name = context.headers().deadlineMillis();
-      refuse(GatewayErrors.badHeader(name, request.headers().get(name)));
+    try {
+      plan =
+          RequestPlan.of(
+              request,
+              context.board(),
+              context.headers(),
+              ThreadLocalRandom.current().nextDouble());
+    } catch (ServeException e) {
+      refuse(e);
       return;
     }
-    deadlineMillis = request.arrivedMillis() + timeLeft.get();
-    waitUntilMillis =
-        Math.min(deadlineMillis, request.arrivedMillis() + route.maxSilenceMillis())
-            - SERVICE_MILLIS;
     deadlineTimer =
-        context.loop().schedule(this::onDeadline, timeLeft.get(), TimeUnit.MILLISECONDS);
-    boolean hasEngine = config.get().service(service).flatMap(ServiceSpec::engine).isPresent();
-    String model = request.headers().get(context.headers().model(), "");
-    if (hasEngine && !model.isEmpty()) {
-      ref = Optional.of(ModelRef.parse(model));
-      context.arrivals().onArrival(key());
+        context
+            .loop()
+            .schedule(
+                this::onDeadline,
+                plan.deadlineMillis() - request.arrivedMillis(),
+                TimeUnit.MILLISECONDS);
+    if (plan.ref().isPresent()) {
+      context.arrivals().onArrival(plan.key());
     }
-    context.retries().onFirst(service);
+    context.retries().onFirst(plan.service());
     dispatch();
   }
 
   /** The caller has left: stops all work. */
   void cancel() {
     if (!done) {
-      context.events().record(EventKind.REQUEST_CANCELLED, id, "after " + age() + " ms");
+      log.cancelled();
       finish("cancelled");
     }
   }
@@ -139,12 +118,12 @@
 
   @Override
   public long deadlineMillis() {
-    return waitUntilMillis;
+    return plan.waitUntilMillis();
   }
 
   @Override
   public long targetMillis() {
-    return request.arrivedMillis() + route.targetLatencyMillis();
+    return plan.targetMillis();
   }
 
   @Override
@@ -154,37 +133,25 @@
     }
   }
 
-  private Optional<Long> timeLeftMillis() {
-    String text = request.headers().get(context.headers().deadlineMillis());
-    if (text == null) {
-      return Optional.of(route.timeoutMillis());
-    }
-    try {
-      long given = Long.parseLong(text.trim());
-      return given < 0 ? Optional.empty() : Optional.of(Math.min(given, route.timeoutMillis()));
-    } catch (NumberFormatException e) {
-      // The caller gets an error that quotes the value.
-      return Optional.empty();
-    }
-  }
-
   private void dispatch() {
     Optional<ServerEntry> chosen = choose();
     if (chosen.isPresent() && isTooLate(chosen.get())) {
-      refuse(GatewayErrors.queueTooLong(what(), route.targetLatencyMillis(), spreadMillis()));
+      refuse(
+          GatewayErrors.queueTooLong(
+              plan.what(), plan.route().targetLatencyMillis(), spreadMillis()));
     } else if (chosen.isPresent()) {
       leaveRoom();
       offers++;
       attempt = new Attempt(context, chosen.get(), this);
       watchSilence();
       attempt.start(
-          route.repeatable() ? REPEATABLE_MAX_IDLE_MILLIS : NON_REPEATABLE_MAX_IDLE_MILLIS);
-    } else if (headSent) {
+          plan.route().repeatable() ? REPEATABLE_MAX_IDLE_MILLIS : NON_REPEATABLE_MAX_IDLE_MILLIS);
+    } else if (relay.isStarted()) {
       breakOff("no server to go on at");
-    } else if (ref.isPresent() && isHeldByNone()) {
+    } else if (plan.ref().isPresent() && isHeldByNone()) {
       waitForModel();
     } else {
-      refuse(orLost(GatewayErrors.noServer(what(), RETRY_AFTER_FULL_MILLIS)));
+      refuse(orLost(GatewayErrors.noServer(plan.what(), RETRY_AFTER_FULL_MILLIS)));
     }
   }
 
@@ -193,9 +160,10 @@
    * Requests beyond what servers can answer in time would else make all of them late.
    */
   private boolean isTooLate(ServerEntry server) {
-    return route.kind() == RequestKind.STREAMING
+    return plan.route().kind() == RequestKind.STREAMING
         && !mayHaveRun
-        && context.loads().queueMillis(server.incarnation().id()) > route.targetLatencyMillis();
+        && context.loads().queueMillis(server.incarnation().id())
+            > plan.route().targetLatencyMillis();
   }
 
   /** Callers that are refused together should not come back together. */
@@ -204,38 +172,40 @@
   }
 
   private Optional<ServerEntry> choose() {
-    ServerChooser.Need need = new ServerChooser.Need(service, ref, affinity(), tried);
+    ServerChooser.Need need =
+        new ServerChooser.Need(plan.service(), plan.ref(), plan.affinity(), tried);
     return context.chooser().choose(context.board().fleet(), need);
   }
 
   private boolean isHeldByNone() {
-    return context.chooser().holders(context.board().fleet(), service, ref).isEmpty();
+    return context.chooser().holders(context.board().fleet(), plan.service(), plan.ref()).isEmpty();
   }
 
   /** Waits for a load, unless it is known to come too late. */
   private void waitForModel() {
-    Long readyAtMillis = context.board().outlook().readyAtMillisByModel().get(ref.orElseThrow());
+    Long readyAtMillis =
+        context.board().outlook().readyAtMillisByModel().get(plan.ref().orElseThrow());
     long nowMillis = context.clock().millis();
-    boolean tooLate = readyAtMillis != null && readyAtMillis > waitUntilMillis;
-    if (nowMillis > waitUntilMillis || tooLate) {
+    boolean tooLate = readyAtMillis != null && readyAtMillis > plan.waitUntilMillis();
+    if (nowMillis > plan.waitUntilMillis() || tooLate) {
       long expectedMillis = tooLate ? readyAtMillis - nowMillis : 0;
       refuse(
           orLost(
               GatewayErrors.notInTime(
-                  what(),
+                  plan.what(),
                   Math.max(RETRY_AFTER_FULL_MILLIS, expectedMillis),
-                  waitUntilMillis - nowMillis)));
+                  plan.waitUntilMillis() - nowMillis)));
       return;
     }
     if (waitingFor == null) {
-      waitingFor = key();
+      waitingFor = plan.key();
       context.room().add(waitingFor, this);
     }
   }
 
   private void leaveRoom() {
     if (waitingFor != null) {
-      context.metrics().onModelWait(age());
+      context.metrics().onModelWait(log.ageMillis());
       context.room().remove(waitingFor, this);
       waitingFor = null;
     }
@@ -244,9 +214,9 @@
   /** Looks for another server if this one does not begin to answer. */
   private void watchSilence() {
     stopWatchingSilence();
-    if (route.repeatable() && runs + 1 < route.maxAttempts()) {
+    if (plan.route().repeatable() && runs + 1 < plan.route().maxAttempts()) {
       long silenceMillis =
-          Math.max(MIN_SILENCE_MILLIS, SILENCE_TARGETS * route.targetLatencyMillis());
+          Math.max(MIN_SILENCE_MILLIS, SILENCE_TARGETS * plan.route().targetLatencyMillis());
       silenceTimer = context.loop().schedule(this::onSilence, silenceMillis, TimeUnit.MILLISECONDS);
     }
   }
@@ -264,7 +234,7 @@
     }
     Attempt silent = attempt;
     tried.add(silent.server().incarnation().id());
-    if (choose().isPresent() && context.retries().tryAgain(service)) {
+    if (choose().isPresent() && context.retries().tryAgain(plan.service())) {
       runs += silent.isSent() ? 1 : 0;
       mayHaveRun |= silent.isSent();
       context.loads().onFailed(silent.server().incarnation().id());
@@ -275,58 +245,28 @@
     }
   }
 
-  private WaitingRoom.Key key() {
-    return new WaitingRoom.Key(service, ref.orElseThrow());
-  }
-
-  /** The parts of the prompt that other requests share. */
-  private String affinity() {
-    String parts = request.headers().get(context.headers().prompt(), "");
-    int last = parts.lastIndexOf(',');
-    return last < 0 ? "" : parts.substring(0, last);
-  }
-
-  private String what() {
-    return "route %s, service %s%s"
-        .formatted(route.name(), service, ref.map(r -> ", model " + r).orElse(""));
-  }
-
-  private long age() {
-    return context.clock().millis() - request.arrivedMillis();
-  }
-
   private void onDeadline() {
     if (done) {
       return;
     }
-    if (headSent) {
+    if (relay.isStarted()) {
       breakOff("deadline");
     } else if (mayHaveRun || (attempt != null && attempt.isSent())) {
-      refuse(GatewayErrors.timedOut(route, age()));
+      refuse(GatewayErrors.timedOut(plan.route(), log.ageMillis()));
     } else {
-      refuse(GatewayErrors.expired(route, age()));
+      refuse(GatewayErrors.expired(plan.route(), log.ageMillis()));
     }
   }
 
   /** Closes the caller's connection, since an answer that has begun cannot become an error. */
   private void breakOff(String reason) {
-    context
-        .events()
-        .record(
-            EventKind.REQUEST_REFUSED,
-            id,
-            "answer cut after %d ms: %s, %s".formatted(age(), reason, what()));
+    log.cut(plan, reason);
     answer.abort();
     finish("cut");
   }
 
   private void refuse(ServeException error) {
-    context
-        .events()
-        .record(
-            EventKind.REQUEST_REFUSED,
-            id,
-            "%s after %d ms: %s".formatted(error.kind().word(), age(), error.getMessage()));
+    log.refused(error);
     answer.refuse(error);
     finish(error.kind().word());
   }
@@ -348,28 +288,27 @@
     if (attempt != null) {
       attempt.stop();
     }
-    if (assembler != null) {
-      assembler.release();
-      assembler = null;
-    }
+    relay.release();
     context.metrics().onEnded(outcome);
     onDone.run();
   }
 
   private void onRetried(String cause, String reason) {
     context.metrics().onRetried(cause);
-    context.events().record(EventKind.REQUEST_RETRIED, id, cause + ", " + reason);
+    log.retried(cause, reason);
   }
 
   /** Sends the request once more if that is allowed, or gives the caller the error. */
   private void retryOr(String cause, ServeException error) {
     attempt = null;
     boolean allowed =
-        mayHaveRun ? route.repeatable() && runs < route.maxAttempts() : offers < MAX_OFFERS;
-    if (allowed && context.retries().tryAgain(service)) {
+        mayHaveRun
+            ? plan.route().repeatable() && runs < plan.route().maxAttempts()
+            : offers < MAX_OFFERS;
+    if (allowed && context.retries().tryAgain(plan.service())) {
       onRetried(cause, error.getMessage());
       dispatch();
-    } else if (headSent) {
+    } else if (relay.isStarted()) {
       breakOff(error.getMessage());
     } else {
       refuse(orLost(error));
@@ -378,30 +317,24 @@
 
   @Override
   public ServerConnection.Outbound outbound(ServerEntry server) {
-    context
-        .events()
-        .record(
-            EventKind.REQUEST_DISPATCHED,
-            id,
-            "%s, server %s, after %d ms".formatted(what(), server.incarnation(), age()));
+    log.dispatched(plan, server);
     HttpHeaders headers =
         ForwardedHeaders.toServer(
             request.headers(),
             context.headers(),
             new ForwardedHeaders.Stamp(
-                Math.max(1, deadlineMillis - context.clock().millis()),
+                Math.max(1, plan.deadlineMillis() - context.clock().millis()),
                 server.incarnation().id(),
-                route.kind() == RequestKind.STREAMING ? route.priority() : -1));
-    if (assembler != null) {
-      assembler.lastId().ifPresent(last -> headers.set(context.headers().lastEventId(), last));
-    }
+                plan.route().kind() == RequestKind.STREAMING ? plan.route().priority() : -1));
+    relay.lastEventId().ifPresent(last -> headers.set(context.headers().lastEventId(), last));
     return new ServerConnection.Outbound(
         request.method(), request.target(), headers, request.body(), id);
   }
 
   @Override
   public boolean mayTryElsewhere() {
-    return headSent || (route.kind() == RequestKind.IDEMPOTENT && runs + 1 < route.maxAttempts());
+    return relay.isStarted()
+        || (plan.route().kind() == RequestKind.IDEMPOTENT && runs + 1 < plan.route().maxAttempts());
   }
 
   @Override
@@ -409,26 +342,15 @@
     stopWatchingSilence();
     runs++;
     mayHaveRun = true;
-    if (headSent) {
-      return;
-    }
-    headSent = true;
-    context.metrics().onFirstByte(age());
-    HttpHeaders headers = ForwardedHeaders.toCaller(head.headers());
-    boolean fixedLength = headers.contains(HttpHeaderNames.CONTENT_LENGTH);
-    if (route.kind() == RequestKind.STREAMING && route.resumable() && !fixedLength) {
-      assembler = new EventAssembler(ByteBufAllocator.DEFAULT, answer::content);
+    if (!relay.isStarted()) {
+      context.metrics().onFirstByte(log.ageMillis());
     }
-    answer.head(head.status(), headers);
+    relay.onHead(head, plan.route());
   }
 
   @Override
   public void onContent(ByteBuf content) {
-    if (assembler == null) {
-      answer.content(content);
-    } else {
-      assembler.accept(content);
-    }
+    relay.onContent(content);
     if (!answer.isWritable()) {
       attempt.setReading(false);
     }
@@ -436,25 +358,16 @@
 
   @Override
   public void onAnswered() {
-    context
-        .events()
-        .record(
-            EventKind.REQUEST_ANSWERED,
-            id,
-            "server %s, offers %d, total %d ms"
-                .formatted(attempt.server().incarnation(), offers, age()));
-    if (assembler != null) {
-      assembler.end();
-    }
-    answer.end();
+    log.answered(attempt.server(), offers);
+    relay.end();
     finish("answered");
   }
 
   @Override
   public void onNotRun(String cause, boolean misdirected, String reason) {
     ServerEntry server = attempt.server();
-    if (misdirected && ref.isPresent()) {
-      context.chooser().onDenied(server, ref.get());
+    if (misdirected && plan.ref().isPresent()) {
+      context.chooser().onDenied(server, plan.ref().get());
     } else {
       tried.add(server.incarnation().id());
       context.loads().onFull(server.incarnation().id(), FULL_PAUSE_MILLIS);
@@ -473,11 +386,11 @@
   @Override
   public void onBroken(String reason) {
     tried.add(attempt.server().incarnation().id());
-    if (assembler == null || assembler.lastId().isEmpty()) {
+    if (relay.lastEventId().isEmpty()) {
       breakOff(reason);
       return;
     }
-    assembler.dropUnfinished();
+    relay.dropUnfinished();
     retryOr("resumed", GatewayErrors.lost(reason));
   }
 }
--- a/node/src/main/java/io/nutmegseam/node/gateway/FleetControl.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/FleetControl.java
@@ -29,7 +29,7 @@
 
   private static final long CONFIG_WAIT_MILLIS = 1_000;
   private static final long CONFIG_PAUSE_MILLIS = 50;
-  private static final long SERVERS_PAUSE_MILLIS = 400;
+  private static final long SERVERS_PAUSE_MILLIS = 600;
 
   private final GatewayBoard board;
   private final RowDecoders decoders;
--- /dev/null
+++ b/node/src/main/java/io/nutmegseam/node/gateway/RequestPlan.java
@@ -0,0 +1,106 @@
+package io.nutmegseam.node.gateway;
+
+import io.nutmegseam.core.error.ServeException;
+import io.nutmegseam.core.fleet.ModelRef;
+import io.nutmegseam.core.gateway.GatewayConfig;
+import io.nutmegseam.core.gateway.Route;
+import io.nutmegseam.core.gateway.ServiceSpec;
+import java.util.Optional;
+
+/**
+ * Where a request goes, and how long it may take.
+ *
+ * @param route its route
+ * @param service the service that takes it
+ * @param ref its model; empty for a plain service
+ * @param affinity the parts of its prompt that other requests share; empty if there are none
+ * @param targetMillis monotonic time until which an answer is in time
+ * @param waitUntilMillis monotonic time until which a server can still begin to answer
+ * @param deadlineMillis monotonic time of the deadline
+ */
+record RequestPlan(
+    Route route,
+    String service,
+    Optional<ModelRef> ref,
+    String affinity,
+    long targetMillis,
+    long waitUntilMillis,
+    long deadlineMillis) {
+  /** Least time for a server to begin its answer. */
+  private static final long SERVICE_MILLIS = 100;
+
+  /** When a caller should come back to a node that has just started, in milliseconds. */
+  private static final long STARTED_RETRY_AFTER_MILLIS = 1_000;
+
+  /**
+   * Routes a request.
+   *
+   * @param request the request
+   * @param board the configuration in force
+   * @param names names of headers
+   * @param draw chooses among the services of the route; from 0 (inclusive) to 1 (exclusive)
+   * @throws ServeException if it cannot be routed
+   */
+  static RequestPlan of(
+      InboundRequest request, GatewayBoard board, GatewayHeaders names, double draw)
+      throws ServeException {
+    GatewayConfig config =
+        board.config().orElseThrow(() -> GatewayErrors.notReady(STARTED_RETRY_AFTER_MILLIS));
+    Route route =
+        config
+            .route(request.host(), request.path())
+            .orElseThrow(() -> GatewayErrors.noRoute(request, config.version()));
+    String service = route.service(draw);
+    long deadlineMillis = request.arrivedMillis() + timeLeftMillis(request, names, route);
+    long silenceMillis = request.arrivedMillis() + route.maxSilenceMillis();
+    return new RequestPlan(
+        route,
+        service,
+        ref(request, names, config, service),
+        affinity(request, names),
+        request.arrivedMillis() + route.targetLatencyMillis(),
+        Math.min(deadlineMillis, silenceMillis) - SERVICE_MILLIS,
+        deadlineMillis);
+  }
+
+  /** Returns what the request waits for while no server holds its model. */
+  WaitingRoom.Key key() {
+    return new WaitingRoom.Key(service, ref.orElseThrow());
+  }
+
+  /** Returns the plan in words. */
+  String what() {
+    return "route %s, service %s%s"
+        .formatted(route.name(), service, ref.map(r -> ", model " + r).orElse(""));
+  }
+
+  private static long timeLeftMillis(InboundRequest request, GatewayHeaders names, Route route)
+      throws ServeException {
+    String text = request.headers().get(names.deadlineMillis());
+    if (text == null) {
+      return route.timeoutMillis();
+    }
+    try {
+      long given = Long.parseLong(text.trim());
+      if (given >= 0) {
+        return Math.min(given, route.timeoutMillis());
+      }
+    } catch (NumberFormatException e) {
+      // The error below quotes the value.
+    }
+    throw GatewayErrors.badHeader(names.deadlineMillis(), text);
+  }
+
+  private static Optional<ModelRef> ref(
+      InboundRequest request, GatewayHeaders names, GatewayConfig config, String service) {
+    boolean hasEngine = config.service(service).flatMap(ServiceSpec::engine).isPresent();
+    String model = request.headers().get(names.model(), "");
+    return hasEngine && !model.isEmpty() ? Optional.of(ModelRef.parse(model)) : Optional.empty();
+  }
+
+  private static String affinity(InboundRequest request, GatewayHeaders names) {
+    String parts = request.headers().get(names.prompt(), "");
+    int last = parts.lastIndexOf(',');
+    return last < 0 ? "" : parts.substring(0, last);
+  }
+}
