--- a/node/src/test/java/io/nutmegseam/node/DocsTest.java
+++ b/node/src/test/java/io/nutmegseam/node/DocsTest.java
@@ -8,6 +8,7 @@
 import io.nutmegseam.core.event.EventKind;
 import io.nutmegseam.core.json.FieldSpec;
 import io.nutmegseam.core.json.ObjectSchema;
+import io.nutmegseam.node.gateway.GatewaySettings;
 import io.nutmegseam.node.settings.SettingsSchema;
 import java.io.IOException;
 import java.math.BigDecimal;
@@ -72,6 +73,18 @@
       assertThat(written).isEqualTo(page);
     }
 
+    @Test
+    void should_list_every_setting_of_a_gateway_node() throws IOException {
+      // GIVEN
+      String page =
+          "# Settings of a gateway node\n\nJSON with comments.\n\n"
+              + table(GatewaySettings.SCHEMA);
+      // WHEN
+      String written = written("GATEWAY-SETTINGS.md", page);
+      // THEN
+      assertThat(written).isEqualTo(page);
+    }
+
     @Test
     void should_list_every_field_of_every_record_version() throws IOException {
       // GIVEN
