A stopping node refuses requests that still wait for a model before it ends

Ruled out: requests at a server (those are finished or still at work in the last sixth of the grace). Change: what still waits 0.7 s before the end is refused with 503 and Retry-After. Test: GatewayWireTest$StoppingNode.

--- a/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
@@ -9,6 +9,7 @@
 import io.nutmegseam.core.fleet.ServerEntry;
 import io.nutmegseam.core.gateway.RequestKind;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
@@ -71,7 +72,7 @@
     this.relay = new AnswerRelay(answer);
     this.onDone = onDone;
     this.id = request.headers().get(context.headers().requestId(), "");
-    this.log = new RequestLog(context.events(), context.clock(), id, request.arrivedMillis());
+    this.log = RequestLog.of(context, id, request.arrivedMillis());
   }
 
   /** Routes the request and sends it to a server. */
@@ -133,6 +134,13 @@
     }
   }
 
+  @Override
+  public void giveUp() {
+    if (!done && attempt == null) {
+      refuse(orLost(GatewayErrors.stopping(plan.what(), MIN_RETRY_AFTER_MILLIS)));
+    }
+  }
+
   private void dispatch() {
     Optional<ServerEntry> chosen = choose();
     if (chosen.isPresent() && isTooLate(chosen.get())) {
@@ -148,7 +156,7 @@
           plan.route().repeatable() ? REPEATABLE_MAX_IDLE_MILLIS : NON_REPEATABLE_MAX_IDLE_MILLIS);
     } else if (relay.isStarted()) {
       breakOff("no server to go on at");
-    } else if (plan.ref().isPresent() && isHeldByNone()) {
+    } else if (plan.ref().isPresent() && holders().isEmpty()) {
       waitForModel();
     } else {
       refuse(orLost(GatewayErrors.noServer(plan.what(), RETRY_AFTER_FULL_MILLIS)));
@@ -177,8 +185,8 @@
     return context.chooser().choose(context.board().fleet(), need);
   }
 
-  private boolean isHeldByNone() {
-    return context.chooser().holders(context.board().fleet(), plan.service(), plan.ref()).isEmpty();
+  private List<ServerEntry> holders() {
+    return context.chooser().holders(context.board().fleet(), plan.service(), plan.ref());
   }
 
   /** Waits for a load, unless it is known to come too late. */
@@ -240,7 +248,7 @@
       context.loads().onFailed(silent.server().incarnation().id());
       silent.stop();
       attempt = null;
-      onRetried("silent", silent.server().incarnation() + " did not begin to answer");
+      log.retried("silent", silent.server().incarnation() + " did not begin to answer");
       dispatch();
     }
   }
@@ -293,11 +301,6 @@
     onDone.run();
   }
 
-  private void onRetried(String cause, String reason) {
-    context.metrics().onRetried(cause);
-    log.retried(cause, reason);
-  }
-
   /** Sends the request once more if that is allowed, or gives the caller the error. */
   private void retryOr(String cause, ServeException error) {
     attempt = null;
@@ -306,7 +309,7 @@
             ? plan.route().repeatable() && runs < plan.route().maxAttempts()
             : offers < MAX_OFFERS;
     if (allowed && context.retries().tryAgain(plan.service())) {
-      onRetried(cause, error.getMessage());
+      log.retried(cause, error.getMessage());
       dispatch();
     } else if (relay.isStarted()) {
       breakOff(error.getMessage());
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
@@ -47,6 +47,9 @@
   /** A stopping node keeps taking requests until the balancer has seen that it isn't ready. */
   private static final long STOP_LINGER_MILLIS = 2_500;
 
+  /** Requests that still wait for a model are refused this long before the node ends. */
+  private static final long STOP_REFUSAL_MILLIS = 700;
+
   /** Time kept free before the forced end. */
   private static final long STOP_MARGIN_MILLIS = 800;
 
@@ -196,6 +199,9 @@
       if (!lingering) {
         server.stopListening();
       }
+      if (clock.millis() > lastMillis - STOP_REFUSAL_MILLIS) {
+        loop.execute(traffic.room()::giveUpAll);
+      }
       server.closeIdle();
       pause();
     }
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayErrors.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayErrors.java
@@ -14,6 +14,12 @@
         ErrorKind.NOT_READY, "the node knows no configuration yet", retryAfterMillis);
   }
 
+  /** A node that stops before the request's model can be loaded. */
+  static ServeException stopping(String what, long retryAfterMillis) {
+    return new ServeException(
+        ErrorKind.NOT_READY, "the node stops; not served: " + what, retryAfterMillis);
+  }
+
   /** A host and path without a route. */
   static ServeException noRoute(InboundRequest request, long configVersion) {
     return new ServeException(
--- a/node/src/main/java/io/nutmegseam/node/gateway/RequestLog.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/RequestLog.java
@@ -10,11 +10,18 @@
  * The log lines of one request.
  *
  * @param events the log
+ * @param metrics counts repeats
  * @param clock monotonic clock
  * @param id id of the request
  * @param arrivedMillis monotonic time of its arrival
  */
-record RequestLog(EventSink events, InstantSource clock, String id, long arrivedMillis) {
+record RequestLog(
+    EventSink events, GatewayMetrics metrics, InstantSource clock, String id, long arrivedMillis) {
+  /** Returns the log of a request. */
+  static RequestLog of(TrafficContext context, String id, long arrivedMillis) {
+    return new RequestLog(context.events(), context.metrics(), context.clock(), id, arrivedMillis);
+  }
+
   /** Returns how long ago the request arrived, in milliseconds. */
   long ageMillis() {
     return clock.millis() - arrivedMillis;
@@ -33,6 +40,7 @@
 
   /** Notes that the request is sent once more. */
   void retried(String cause, String reason) {
+    metrics.onRetried(cause);
     record(EventKind.REQUEST_RETRIED, cause + ", " + reason);
   }
 
--- a/node/src/main/java/io/nutmegseam/node/gateway/WaitingRoom.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/WaitingRoom.java
@@ -26,6 +26,9 @@
 
     /** Looks for a server again; the waiter leaves the room if it finds one. */
     void reconsider();
+
+    /** Refuses the request, since the node ends before its model can be loaded. */
+    void giveUp();
   }
 
   /**
@@ -56,9 +59,18 @@
 
   /** Lets each request look again, the oldest first. */
   void reconsiderAll() {
+    all().forEach(Waiter::reconsider);
+  }
+
+  /** Refuses all requests. */
+  void giveUpAll() {
+    all().forEach(Waiter::giveUp);
+  }
+
+  private List<Waiter> all() {
     List<Waiter> all = new ArrayList<>();
     waitersByModel.values().forEach(all::addAll);
-    all.forEach(Waiter::reconsider);
+    return all;
   }
 
   /** Returns the number of waiting requests of each model. */
--- a/node/src/test/java/io/nutmegseam/node/DocsTest.java
+++ b/node/src/test/java/io/nutmegseam/node/DocsTest.java
@@ -77,8 +77,7 @@
     void should_list_every_setting_of_a_gateway_node() throws IOException {
       // GIVEN
       String page =
-          "# Settings of a gateway node\n\nJSON with comments.\n\n"
-              + table(GatewaySettings.SCHEMA);
+          "# Settings of a gateway node\n\nJSON with comments.\n\n" + table(GatewaySettings.SCHEMA);
       // WHEN
       String written = written("GATEWAY-SETTINGS.md", page);
       // THEN
--- a/node/src/test/java/io/nutmegseam/node/gateway/GatewayWireTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/GatewayWireTest.java
@@ -1,13 +1,16 @@
 package io.nutmegseam.node.gateway;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.nutmegseam.core.fleet.Fleet;
 import io.nutmegseam.core.fleet.ServerEntry;
+import io.nutmegseam.core.gateway.EngineSpec;
 import io.nutmegseam.core.gateway.GatewayConfig;
 import io.nutmegseam.core.gateway.GatewayLimits;
+import io.nutmegseam.core.gateway.ModelSpec;
 import io.nutmegseam.core.gateway.RequestKind;
 import io.nutmegseam.core.gateway.Route;
 import io.nutmegseam.core.gateway.ServiceShare;
@@ -16,6 +19,7 @@
 import io.nutmegseam.node.gateway.ScriptedServer.Ending;
 import io.nutmegseam.node.settings.HostPort;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -28,6 +32,8 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -59,6 +65,7 @@
   private final Clock clock = new MonotonicClock();
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
   private final GatewayBoard board = new GatewayBoard();
+  private final WaitingRoom room = new WaitingRoom(() -> {});
   private int port;
 
   @BeforeEach
@@ -75,7 +82,7 @@
             new ServerChooser("dc", loads, new Random(1), clock),
             loads,
             new RetryAllowance(0.2, 50, 10_000, 1, clock),
-            new WaitingRoom(() -> {}),
+            room,
             new ArrivalCounts(),
             (kind, subject, detail) -> {},
             new GatewayMetrics());
@@ -194,6 +201,43 @@
     }
   }
 
+  /** Pattern: a node is stopped while requests wait for a model that is loaded nowhere. */
+  @Nested
+  class StoppingNode {
+    @Test
+    void should_refuse_a_request_that_waits_for_a_model() throws Exception {
+      // GIVEN
+      ModelSpec model = new ModelSpec("m", 1, 6_000, 800, 400, 0, 0);
+      EngineSpec engine = new EngineSpec(4, 1_000, 10, 8, 1, Map.of("m", model));
+      serve(RequestKind.STREAMING, Optional.of(engine));
+      CompletableFuture<String> waiting =
+          CompletableFuture.supplyAsync(
+              () -> {
+                try {
+                  return exchange(
+                      lines("POST /p/x HTTP/1.1|Host: h|id: 1|model: m|Connection: close||"));
+                } catch (IOException e) {
+                  throw new UncheckedIOException(e);
+                }
+              });
+      await().until(() -> onLoop(() -> room.waiting().size()) == 1);
+      // WHEN
+      onLoop(
+          () -> {
+            room.giveUpAll();
+            return 0;
+          });
+      // THEN
+      assertThat(waiting.get(5, TimeUnit.SECONDS))
+          .startsWith("HTTP/1.1 503")
+          .containsIgnoringCase("retry-after");
+    }
+
+    private int onLoop(Callable<Integer> task) throws Exception {
+      return group.next().submit(task).get(5, TimeUnit.SECONDS);
+    }
+  }
+
   @Nested
   class Requests {
     @Test
@@ -233,6 +277,10 @@
   }
 
   private void serve(RequestKind kind, ScriptedServer... servers) {
+    serve(kind, Optional.empty(), servers);
+  }
+
+  private void serve(RequestKind kind, Optional<EngineSpec> engine, ScriptedServer... servers) {
     Route route =
         new Route(
             "r",
@@ -250,7 +298,7 @@
         new GatewayConfig(
             1,
             List.of(route),
-            Map.of("s", new ServiceSpec("s", 10, Optional.empty())),
+            Map.of("s", new ServiceSpec("s", 10, engine)),
             new GatewayLimits(8_192, 8_192, 1_000, 5_000)));
     Map<String, ServerEntry> entries = new HashMap<>();
     for (ScriptedServer server : servers) {
