--- a/core/src/main/java/io/nutmegseam/core/orders/StoreLoads.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/StoreLoads.java
@@ -28,14 +28,6 @@
     startedMillis.addLast(nowMillis);
   }
 
-  /** Treats the whole window as used, for a node that does not know what was loaded before it. */
-  public void assumeFull(double loadsPerSecond, long nowMillis) {
-    startedMillis.clear();
-    for (int i = 0; i < perWindow(loadsPerSecond); i++) {
-      startedMillis.addLast(nowMillis);
-    }
-  }
-
   /**
    * Returns how many loads may begin now.
    *
--- a/node/src/main/java/io/nutmegseam/node/gateway/Attempt.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/Attempt.java
@@ -15,7 +15,6 @@
   private final TrafficContext context;
   private final ServerEntry server;
   private final Owner owner;
-  private final long startedMillis;
   private ServerConnection connection;
   private State state = State.CONNECTING;
   private HttpResponse held;
@@ -71,7 +70,6 @@
     this.context = context;
     this.server = server;
     this.owner = owner;
-    this.startedMillis = context.clock().millis();
   }
 
   /** Returns the server. */
@@ -156,7 +154,7 @@
     }
     end();
     if (held == null) {
-      context.loads().onAnswered(serverId(), context.clock().millis() - startedMillis);
+      context.loads().onAnswered(serverId());
       owner.onAnswered();
     } else if (isNotRun(held)) {
       boolean misdirected = held.status().code() == STATUS_MISDIRECTED;
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
@@ -38,7 +38,10 @@
   private static final long TICK_MILLIS = 50;
   private static final long DEMAND_MILLIS = 250;
   private static final long URGENT_DEMAND_MILLIS = 10;
-  private static final long NEWS_MILLIS = 100;
+
+  /** News without a change is sent again after this time, so that no node forgets it. */
+  private static final long NEWS_MILLIS = 1_000;
+
   private static final long STOP_POLL_MILLIS = 50;
 
   /** Time of a swap from disk, with its orders; later requests are no longer in time. */
@@ -56,8 +59,13 @@
   /** Nodes assumed to share fleet-wide limits until the holder of the lease says how many. */
   private static final int ASSUMED_NODES = 12;
 
-  private static final OrderLease.Timing LEASE_TIMING_BASE =
-      new OrderLease.Timing(5_000, 1_000, 1_000, 0);
+  /** Time of the order lease; docs/PLATFORM.md weighs shorter and longer ones. */
+  private static final long LEASE_MILLIS = 5_000;
+
+  private static final long LEASE_RENEW_MILLIS = 1_000;
+
+  /** Time for an order to reach its server before the lease runs out. */
+  private static final long LEASE_MARGIN_MILLIS = 1_000;
 
   private final GatewaySettings settings;
   private final Clock clock = new MonotonicClock();
@@ -112,10 +120,7 @@
         new LeaseControl(
             new LeaseControl.Identity(process, settings.node(), settings.peerAddress().toString()),
             new OrderLease.Timing(
-                LEASE_TIMING_BASE.leaseMillis(),
-                LEASE_TIMING_BASE.renewMillis(),
-                LEASE_TIMING_BASE.marginMillis(),
-                settings.orderQuietMillis()),
+                LEASE_MILLIS, LEASE_RENEW_MILLIS, LEASE_MARGIN_MILLIS, settings.orderQuietMillis()),
             adapters.rows(),
             thread,
             new LeaseControl.Clocks(clock, Clock.systemUTC()),
@@ -309,7 +314,7 @@
       Map<Incarnation, Inventory> inventories, Map<ModelRef, Long> readyAtMillis) {
     long nowMillis = clock.millis();
     int hash = inventories.hashCode() * 31 + readyAtMillis.keySet().hashCode();
-    if (hash == lastNewsHash && nowMillis - newsSentMillis < NEWS_MILLIS * 10) {
+    if (hash == lastNewsHash && nowMillis - newsSentMillis < NEWS_MILLIS) {
       return;
     }
     lastNewsHash = hash;
@@ -325,7 +330,7 @@
   private void apply(
       Map<Incarnation, Inventory> inventories, Map<ModelRef, Long> readyAtMillis, int nodes) {
     inventories.forEach(fleet::onNews);
-    board.setOutlook(new ModelOutlook(readyAtMillis, clock.millis()));
+    board.setOutlook(new ModelOutlook(readyAtMillis));
     loop.execute(() -> traffic.retries().setNodes(nodes));
     fleet.publish();
   }
--- a/node/src/main/java/io/nutmegseam/node/gateway/LeaseControl.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/LeaseControl.java
@@ -100,11 +100,6 @@
         : Optional.empty();
   }
 
-  /** Returns whether this node holds the lease, whether or not it may give orders yet. */
-  boolean isHolder() {
-    return lease.tenure().isPresent();
-  }
-
   /** Returns the row of the lease as it was last seen. */
   Optional<OrderLeaseRow> row() {
     return lease.row();
--- a/node/src/main/java/io/nutmegseam/node/gateway/ModelOutlook.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/ModelOutlook.java
@@ -7,8 +7,7 @@
  * When models that are not loaded are expected to be, as the node that orders loads says.
  *
  * @param readyAtMillisByModel monotonic time at which a model is expected to be loaded
- * @param asOfMillis monotonic time at which this was received
  */
-record ModelOutlook(Map<ModelRef, Long> readyAtMillisByModel, long asOfMillis) {
-  static final ModelOutlook NONE = new ModelOutlook(Map.of(), 0);
+record ModelOutlook(Map<ModelRef, Long> readyAtMillisByModel) {
+  static final ModelOutlook NONE = new ModelOutlook(Map.of());
 }
--- a/node/src/main/java/io/nutmegseam/node/gateway/ServerLoads.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/ServerLoads.java
@@ -15,9 +15,6 @@
   /** Fewer requests that await an answer may be slow for reasons of their own. */
   private static final int MIN_AWAITING = 2;
 
-  /** Weight of the newest response time in the running mean. */
-  private static final double MEAN_WEIGHT = 0.2;
-
   private final InstantSource clock;
   private final Map<String, State> stateById = new HashMap<>();
   private OutlierEjection ejection = OutlierEjection.none();
@@ -27,7 +24,6 @@
     private int outstanding;
     private int reported;
     private long reportedAtMillis;
-    private double meanMillis;
     private long fullUntilMillis;
   }
 
@@ -82,11 +78,9 @@
     state(server).fullUntilMillis = clock.millis() + forMillis;
   }
 
-  /** Notes a whole answer, and how long the server took for it. */
-  void onAnswered(String server, long tookMillis) {
+  /** Notes a whole answer. */
+  void onAnswered(String server) {
     ejection = ejection.succeeded(server);
-    State state = state(server);
-    state.meanMillis += MEAN_WEIGHT * (tookMillis - state.meanMillis);
   }
 
   /** Notes a request that failed at a server. */
@@ -100,16 +94,6 @@
     return ejection.isEjected(server, nowMillis) || state(server).fullUntilMillis > nowMillis;
   }
 
-  /** Returns the requests of this node that are under way at a server. */
-  int outstanding(String server) {
-    return state(server).outstanding;
-  }
-
-  /** Returns the mean time of a server's answers, in milliseconds. */
-  double meanMillis(String server) {
-    return state(server).meanMillis;
-  }
-
   /** Returns the expected share of a server's slots that is taken. */
   double utilisation(ServerEntry entry) {
     State state = state(entry.incarnation().id());
@@ -119,11 +103,6 @@
     return (load + 1) / Math.max(1, entry.slots());
   }
 
-  /** Forgets servers that are gone. */
-  void retain(java.util.Set<String> servers) {
-    stateById.keySet().retainAll(servers);
-  }
-
   private State state(String server) {
     return stateById.computeIfAbsent(server, s -> new State());
   }
--- a/node/src/main/java/io/nutmegseam/node/gateway/ServerPools.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/ServerPools.java
@@ -38,12 +38,6 @@
         a -> new ServerPool(loop, host, port, idHeader, CONNECT_TIMEOUT_MILLIS, clock));
   }
 
-  /** Returns the number of open connections to an address. */
-  int open(String address) {
-    ServerPool pool = poolByAddress.get(address);
-    return pool == null ? 0 : pool.open();
-  }
-
   private void sweep() {
     poolByAddress
         .values()
