Log why no server is assigned to a requested model

The holder of the order lease now tracks since when a model has been requested without being served, also if its requests were refused, and logs LOAD_DEFERRED (331) with the reason: no copy, copies on servers that cannot evict, copies on servers that are assigned to other models, or no request that waits. One line when the reason changes and one each 5 s for a model. No decision changes.

--- a/core/src/main/java/io/nutmegseam/core/orders/MemoryUse.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/MemoryUse.java
@@ -27,6 +27,13 @@
     return engine.modelMemoryMegabytes() - used;
   }
 
+  /** Returns whether a server has memory for a model, or can evict enough other models. */
+  static boolean canHost(ServiceSnapshot snapshot, ServerOrderState server, ModelSpec spec) {
+    double free = freeMegabytes(snapshot.engine(), server);
+    double evictable = EvictionChooser.evictableMegabytes(snapshot, server, spec.name());
+    return free + evictable >= spec.weightsMegabytes();
+  }
+
   /** Returns the memory that a load needs, in megabytes. */
   static double neededMegabytes(EngineSpec engine, ModelOrder order) {
     ModelSpec model = engine.models().get(order.ref().model());
--- a/core/src/main/java/io/nutmegseam/core/orders/ModelDemand.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/ModelDemand.java
@@ -8,11 +8,20 @@
  * @param earliestDeadlineMillis earliest monotonic time, in milliseconds, at which one of them can
  *     wait no longer
  * @param ratePerSecond running mean of the requests per second
+ * @param lastRequestMillis monotonic time of the last request, in milliseconds, whether it was
+ *     served, waits or was refused; {@link #NEVER_MILLIS} if there was none
  */
 public record ModelDemand(
-    int waiting, int meetable, long earliestDeadlineMillis, double ratePerSecond) {
+    int waiting,
+    int meetable,
+    long earliestDeadlineMillis,
+    double ratePerSecond,
+    long lastRequestMillis) {
+  /** The time of the last request of a model without requests. */
+  public static final long NEVER_MILLIS = Long.MIN_VALUE;
+
   /** No demand. */
-  public static final ModelDemand NONE = new ModelDemand(0, 0, Long.MAX_VALUE, 0);
+  public static final ModelDemand NONE = new ModelDemand(0, 0, Long.MAX_VALUE, 0, NEVER_MILLIS);
 
   /** Value of a request that misses its target, relative to one that meets it. */
   private static final double LATE_REQUEST_VALUE = 0.15;
@@ -22,12 +31,16 @@
     return meetable + LATE_REQUEST_VALUE * (waiting - meetable);
   }
 
-  /** Returns the sum of both demands, with the earlier of their deadlines. */
+  /**
+   * Returns the sum of both demands, with the earlier of their deadlines and the later of their
+   * last requests.
+   */
   public ModelDemand plus(ModelDemand other) {
     return new ModelDemand(
         waiting + other.waiting,
         meetable + other.meetable,
         Math.min(earliestDeadlineMillis, other.earliestDeadlineMillis),
-        ratePerSecond + other.ratePerSecond);
+        ratePerSecond + other.ratePerSecond,
+        Math.max(lastRequestMillis, other.lastRequestMillis));
   }
 }
--- a/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
@@ -32,31 +32,40 @@
   /** The swaps in progress: the id of the server that is reserved for each model. */
   private final Map<String, String> serverIdByModel = new HashMap<>();
 
+  private final UnservedModels unservedModels = new UnservedModels();
+
   /**
    * The decisions of one planning round.
    *
    * @param orders orders to send now, at most one per server
    * @param readyAtMillisByModel monotonic time at which each model with waiting requests is
    *     expected to be loaded, in milliseconds
+   * @param deferredLoads requested models that no server serves and none is assigned to
    */
-  public record RoundPlan(List<ModelOrder> orders, Map<ModelRef, Long> readyAtMillisByModel) {}
+  public record RoundPlan(
+      List<ModelOrder> orders,
+      Map<ModelRef, Long> readyAtMillisByModel,
+      List<DeferredLoad> deferredLoads) {}
 
   /** Plans one round for the service of a snapshot. */
   public RoundPlan plan(ServiceSnapshot snapshot) {
+    unservedModels.update(snapshot);
     Round round = new Round(snapshot);
     round.dropEndedSwaps();
     round.placeReplicas();
     round.placeWaitingModels();
     round.placeModelsWithoutCopy();
+    List<DeferredLoad> deferredLoads = round.deferredLoads();
     round.addNextOrders();
     List<ModelOrder> adapters = AdapterPlanner.plan(snapshot, round.orderedServers());
     round.orders.addAll(adapters);
-    return new RoundPlan(round.orders, round.expectedLoadTimes());
+    return new RoundPlan(round.orders, round.expectedLoadTimes(), deferredLoads);
   }
 
   /** Discards all swaps, for a node that starts or stops sending orders. */
   public void reset() {
     serverIdByModel.clear();
+    unservedModels.clear();
   }
 
   private final class Round {
@@ -182,7 +191,7 @@
       Optional<ServerOrderState> bestServer =
           snapshot.servers().stream()
               .filter(s -> !s.entry().draining() && !reservedServers.contains(s.id()))
-              .filter(s -> !s.serves(model) && canHost(s, spec))
+              .filter(s -> !s.serves(model) && MemoryUse.canHost(snapshot, s, spec))
               .filter(s -> sourceOn(s, model) != LoadSource.STORE || mayUseStore(s, model))
               .min(
                   Comparator.<ServerOrderState>comparingLong(s -> readyMillis(s, spec))
@@ -222,12 +231,6 @@
           + expectedMillis(server, spec);
     }
 
-    private boolean canHost(ServerOrderState server, ModelSpec spec) {
-      double free = MemoryUse.freeMegabytes(snapshot.engine(), server);
-      double evictable = EvictionChooser.evictableMegabytes(snapshot, server, spec.name());
-      return free + evictable >= spec.weightsMegabytes();
-    }
-
     /** Returns the request rate of the models on a server, divided among their replicas. */
     private double hostedRatePerSecond(ServerOrderState server) {
       return server.entry().inventory().adaptersByModel().keySet().stream()
@@ -283,6 +286,16 @@
               LoadSource.NONE));
     }
 
+    private List<DeferredLoad> deferredLoads() {
+      return unservedModels.names().stream()
+          .filter(model -> snapshot.replicas(model) == 0 && !serverIdByModel.containsKey(model))
+          .map(
+              model ->
+                  DeferredLoad.of(
+                      snapshot, model, unservedModels.unservedMillis(model), reservedServers))
+          .toList();
+    }
+
     /** Returns when each model with waiting requests is expected to be loaded. */
     private Map<ModelRef, Long> expectedLoadTimes() {
       Map<ModelRef, Long> readyAt = new HashMap<>();
--- a/core/src/test/java/io/nutmegseam/core/orders/FleetFixtures.java
+++ b/core/src/test/java/io/nutmegseam/core/orders/FleetFixtures.java
@@ -46,14 +46,14 @@
   }
 
   static ModelDemand waiting(int count, long deadlineMillis) {
-    return new ModelDemand(count, count, deadlineMillis, 0.1);
+    return new ModelDemand(count, count, deadlineMillis, 0.1, 0);
   }
 
   static ModelDemand late(int count, long deadlineMillis) {
-    return new ModelDemand(count, 0, deadlineMillis, 0.1);
+    return new ModelDemand(count, 0, deadlineMillis, 0.1, 0);
   }
 
   static ModelDemand rate(double perSecond) {
-    return new ModelDemand(0, 0, Long.MAX_VALUE, perSecond);
+    return new ModelDemand(0, 0, Long.MAX_VALUE, perSecond, 0);
   }
 }
--- a/node/src/main/java/io/nutmegseam/node/gateway/DemandAggregator.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/DemandAggregator.java
@@ -55,6 +55,7 @@
 
   private record ReceivedReport(Report report, long receivedMillis) {}
 
+  /** The request rate of a model at the time of the last report that counted requests for it. */
   private record Rate(double perSecond, long atMillis) {
     double decayedTo(long nowMillis) {
       return perSecond * Math.exp(-(nowMillis - atMillis) / RATE_TIME_CONSTANT_MILLIS);
@@ -75,6 +76,9 @@
     long nowMillis = clock.millis();
     reportByNode.put(node, new ReceivedReport(report, nowMillis));
     for (ModelReport model : report.modelReports()) {
+      if (model.arrivals() == 0) {
+        continue;
+      }
       Rate before = rateByModel.getOrDefault(model.key(), new Rate(0, nowMillis));
       double added = model.arrivals() * MILLIS_PER_SECOND / RATE_TIME_CONSTANT_MILLIS;
       rateByModel.put(model.key(), new Rate(before.decayedTo(nowMillis) + added, nowMillis));
@@ -95,7 +99,9 @@
     rateByModel.forEach(
         (key, rate) -> {
           if (key.service().equals(service)) {
-            demand.put(key.ref(), new ModelDemand(0, 0, Long.MAX_VALUE, rate.decayedTo(nowMillis)));
+            demand.put(
+                key.ref(),
+                new ModelDemand(0, 0, Long.MAX_VALUE, rate.decayedTo(nowMillis), rate.atMillis()));
           }
         });
     for (ReceivedReport received : reportByNode.values()) {
@@ -103,7 +109,12 @@
         if (model.key().service().equals(service)) {
           demand.merge(
               model.key().ref(),
-              new ModelDemand(model.waiting(), model.meetable(), model.earliestDeadlineMillis(), 0),
+              new ModelDemand(
+                  model.waiting(),
+                  model.meetable(),
+                  model.earliestDeadlineMillis(),
+                  0,
+                  ModelDemand.NEVER_MILLIS),
               ModelDemand::plus);
         }
       }
--- a/node/src/main/java/io/nutmegseam/node/gateway/OrderControl.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/OrderControl.java
@@ -41,6 +41,7 @@
   private final EventSink events;
   private final BiConsumer<Map<Incarnation, Inventory>, Map<ModelRef, Long>> fleetUpdateSink;
   private final Map<String, SwapPlanner> plannerByService = new HashMap<>();
+  private final Map<String, DeferredLoadLog> deferredLoadLogByService = new HashMap<>();
   private final Map<Incarnation, OrderTracker> trackerByServer = new HashMap<>();
   private final Map<Incarnation, Long> inventoryRequestedMillis = new HashMap<>();
   private long fence = -1;
@@ -143,6 +144,9 @@
             engine, servers, dependencies.demand().demandByModel(service), capacity, nowMillis);
     SwapPlanner.RoundPlan plan =
         plannerByService.computeIfAbsent(service, s -> new SwapPlanner()).plan(snapshot);
+    deferredLoadLogByService
+        .computeIfAbsent(service, s -> new DeferredLoadLog(clock, events))
+        .onRound(plan.deferredLoads(), capacity.allowedLoads());
     for (ModelOrder order : plan.orders()) {
       fleet.entry(order.server().id()).ifPresent(entry -> send(order, engine, entry));
     }
