--- a/core/src/test/java/io/nutmegseam/core/orders/SimulatedServer.java
+++ b/core/src/test/java/io/nutmegseam/core/orders/SimulatedServer.java
@@ -35,6 +35,14 @@
     recordSnapshot(0);
   }
 
+  /** Puts weights on the disk and loads models, as before the start of the simulation. */
+  void install(List<String> weights, List<String> loaded) {
+    onDisk.addAll(weights);
+    loaded.forEach(model -> adaptersByModel.put(model, new HashSet<>()));
+    history.clear();
+    recordSnapshot(0);
+  }
+
   boolean isOvercommitted() {
     return overcommitted;
   }
