Load refused models from the weight store before spare replicas

All their requests were refused, the first at once ("expected in 10198 ms, but 9866 ms remain").

Cause: no server has a copy of these models, and the store carries two loads of 10.2 s at a time. A request that can't wait so long is refused, so its model had no waiting request in the round in which the store was free.

Ruled out: demand that decays (the rate of refused requests was known to the planner, it was not looked at).

Change: models without copy are ranked by the requests since they were last served, refused ones included. Overloaded models in high demand still go first; spare replicas come after all requested models. A model unserved for longer than a load takes may use the load that is reserved for high demand. The time told to callers follows that order. Estimates move from SwapPlanner to LoadTimes.

Tests: RareModelServiceTest$ModelsWithoutCopy and four cases of RefusedModelLoadTest failed before; its fifth case, a spare replica where no requested model lacks a copy, held before and holds.

--- a/core/src/main/java/io/nutmegseam/core/orders/ReplicaTarget.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/ReplicaTarget.java
@@ -17,6 +17,9 @@
   /** Above this multiple of the rate of its replicas, a model's requests miss their target. */
   private static final double OVERLOAD_FACTOR = 1.3;
 
+  /** Replicas with which a high-demand model stays available when a server is lost. */
+  static final int MIN_AVAILABLE_REPLICAS = 2;
+
   private ReplicaTarget() {}
 
   /**
@@ -29,20 +32,22 @@
   static int desired(double ratePerSecond, int slots) {
     return ratePerSecond < MIN_REQUESTS_PER_SECOND_TO_REPLICATE
         ? 1
-        : Math.max(2, (int) Math.ceil(ratePerSecond / ratePerReplica(slots)));
+        : Math.max(MIN_AVAILABLE_REPLICAS, (int) Math.ceil(ratePerSecond / ratePerReplica(slots)));
   }
 
   /** Returns the number of replicas to keep; those above it are spare. */
   static int minimumKept(double ratePerSecond, int slots) {
     return ratePerSecond < MIN_REQUESTS_PER_SECOND_TO_REPLICATE * RETAIN_FACTOR
         ? 1
-        : Math.max(2, (int) Math.ceil(ratePerSecond * RETAIN_FACTOR / ratePerReplica(slots)));
+        : Math.max(
+            MIN_AVAILABLE_REPLICAS,
+            (int) Math.ceil(ratePerSecond * RETAIN_FACTOR / ratePerReplica(slots)));
   }
 
   /** Returns whether the replicas of a model are too few to serve its requests within target. */
-  static boolean isUnderProvisioned(double ratePerSecond, int replicas, int slots) {
+  static boolean isOverloaded(double ratePerSecond, int replicas, int slots) {
     return ratePerSecond >= MIN_REQUESTS_PER_SECOND_TO_REPLICATE
-        && (replicas < 2 || ratePerSecond > OVERLOAD_FACTOR * replicas * ratePerReplica(slots));
+        && ratePerSecond > OVERLOAD_FACTOR * replicas * ratePerReplica(slots);
   }
 
   private static double ratePerReplica(int slots) {
--- a/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
@@ -17,18 +17,9 @@
  * Confined to one thread.
  */
 public final class SwapPlanner {
-  /** Expected duration of an unload, which waits for running requests, in milliseconds. */
-  private static final long UNLOAD_MILLIS = 400;
-
   /** Added to the replica count, which may be 0, so that a model without replicas ranks first. */
   private static final double REPLICA_COUNT_OFFSET = 0.01;
 
-  /** Expected remaining time of an order that this node did not send, in milliseconds. */
-  private static final long UNTRACKED_ORDER_MILLIS = 1_000;
-
-  /** Expected remaining time of a load that is overdue, in milliseconds. */
-  private static final long OVERDUE_MILLIS = 250;
-
   /** The swaps in progress: the id of the server that is reserved for each model. */
   private final Map<String, String> serverIdByModel = new HashMap<>();
 
@@ -54,12 +45,16 @@
     round.dropEndedSwaps();
     round.placeReplicas();
     round.placeWaitingModels();
+    round.placeUnservedModelsWithoutCopy();
+    round.placeSpareReplicas();
     round.placeModelsWithoutCopy();
     List<DeferredLoad> deferredLoads = round.deferredLoads();
+    Map<ModelRef, Long> readyMillisByModel =
+        round.loadTimes.readyMillisByModel(serverIdByModel, round.unassignedWithoutCopy());
     round.addNextOrders();
     List<ModelOrder> adapters = AdapterPlanner.plan(snapshot, round.orderedServers());
     round.orders.addAll(adapters);
-    return new RoundPlan(round.orders, round.expectedLoadTimes(), deferredLoads);
+    return new RoundPlan(round.orders, readyMillisByModel, deferredLoads);
   }
 
   /** Discards all swaps, for a node that starts or stops sending orders. */
@@ -70,6 +65,7 @@
 
   private final class Round {
     private final ServiceSnapshot snapshot;
+    private final LoadTimes loadTimes;
     private final List<ModelOrder> orders = new ArrayList<>();
     private final Set<String> reservedServers = new HashSet<>();
     private int storeLoadsLeft;
@@ -77,6 +73,7 @@
 
     private Round(ServiceSnapshot snapshot) {
       this.snapshot = snapshot;
+      this.loadTimes = new LoadTimes(snapshot);
       this.storeLoadsLeft = snapshot.storeCapacity().allowedLoads();
       this.lowDemandLoadsLeft =
           snapshot.demandByModel().isEmpty()
@@ -123,40 +120,61 @@
     }
 
     /**
-     * Places each model that has waiting requests and no replica: first those whose load has the
-     * highest value for the waiting requests, then those with the earliest deadline.
+     * Places each model that has waiting requests, a copy and no replica: first those whose load
+     * has the highest value for the waiting requests, then those with the earliest deadline.
      */
     private void placeWaitingModels() {
-      List<String> waiting = new ArrayList<>();
-      for (String model : snapshot.engine().models().keySet()) {
-        if (snapshot.totalDemand(model).waiting() > 0 && snapshot.replicas(model) == 0) {
-          waiting.add(model);
-        }
-      }
-      waiting.sort(
-          Comparator.<String>comparingDouble(m -> -snapshot.totalDemand(m).value())
-              .thenComparingLong(m -> snapshot.totalDemand(m).earliestDeadlineMillis())
-              .thenComparing(Comparator.naturalOrder()));
-      waiting.forEach(this::place);
+      snapshot.engine().models().keySet().stream()
+          .filter(m -> snapshot.totalDemand(m).waiting() > 0)
+          .filter(m -> snapshot.replicas(m) == 0 && snapshot.hasCopy(m))
+          .sorted(
+              Comparator.<String>comparingDouble(m -> -snapshot.totalDemand(m).value())
+                  .thenComparingLong(m -> snapshot.totalDemand(m).earliestDeadlineMillis())
+                  .thenComparing(Comparator.naturalOrder()))
+          .forEach(m -> place(m, 0));
     }
 
     /**
      * Places further replicas of high-demand models. This precedes the placement of models with few
-     * waiting requests, which would otherwise take every server that becomes free.
+     * waiting requests, which would otherwise take every server that becomes free. Only models
+     * whose replicas are overloaded use the weight store.
      */
     private void placeReplicas() {
-      List<String> underReplicated = new ArrayList<>();
-      for (String model : snapshot.engine().models().keySet()) {
-        double ratePerSecond = snapshot.totalDemand(model).ratePerSecond();
-        int desired = ReplicaTarget.desired(ratePerSecond, snapshot.engine().slots());
-        if (desired > 1 && snapshot.replicas(model) < desired) {
-          underReplicated.add(model);
-        }
+      underReplicatedModels().forEach(m -> place(m, isOverloaded(m) ? storeLoadsLeft : 0));
+    }
+
+    /**
+     * Places replicas of high-demand models, which keep them available when a server is lost, if no
+     * requested model needs the weight store.
+     */
+    private void placeSpareReplicas() {
+      if (unassignedWithoutCopy().isEmpty()) {
+        underReplicatedModels().stream()
+            .filter(m -> snapshot.replicas(m) < ReplicaTarget.MIN_AVAILABLE_REPLICAS)
+            .forEach(m -> place(m, storeLoadsLeft));
       }
-      underReplicated.sort(
-          Comparator.<String>comparingDouble(m -> -ratePerReplica(m))
-              .thenComparing(Comparator.naturalOrder()));
-      underReplicated.forEach(this::place);
+    }
+
+    private List<String> underReplicatedModels() {
+      return snapshot.engine().models().keySet().stream()
+          .filter(
+              m -> {
+                int desired =
+                    ReplicaTarget.desired(
+                        snapshot.totalDemand(m).ratePerSecond(), snapshot.engine().slots());
+                return desired > 1 && snapshot.replicas(m) < desired;
+              })
+          .sorted(
+              Comparator.<String>comparingDouble(m -> -ratePerReplica(m))
+                  .thenComparing(Comparator.naturalOrder()))
+          .toList();
+    }
+
+    private boolean isOverloaded(String model) {
+      return ReplicaTarget.isOverloaded(
+          snapshot.totalDemand(model).ratePerSecond(),
+          snapshot.replicas(model),
+          snapshot.engine().slots());
     }
 
     /** Returns the request rate per replica; a model without a replica ranks first. */
@@ -166,26 +184,51 @@
     }
 
     /**
-     * Uses the remaining store loads for models of which no server has a copy, in the order of the
-     * configuration.
+     * Loads requested models without copy from the weight store. Requests for such a model are
+     * refused at once, since a load takes longer than their callers wait, so the models are ranked
+     * by the requests since they were last served and not by those that wait now. A model that has
+     * been unserved for longer than a load takes may use the loads reserved for high-demand models.
      */
-    private void placeModelsWithoutCopy() {
-      List<String> withoutCopy =
-          snapshot.engine().models().keySet().stream()
-              .filter(model -> !snapshot.hasCopy(model))
-              .toList();
-      for (String model : withoutCopy) {
-        if (lowDemandLoadsLeft > 0) {
-          place(model);
-        }
+    private void placeUnservedModelsWithoutCopy() {
+      for (String model : unassignedWithoutCopy()) {
+        long storeLoadMillis = snapshot.engine().models().get(model).storeLoadMillis();
+        boolean longUnserved = unservedModels.unservedMillis(model) > storeLoadMillis;
+        place(model, longUnserved ? storeLoadsLeft : lowDemandLoadsLeft);
       }
     }
 
+    /**
+     * Returns the requested models that only the weight store has, those with most requests first.
+     */
+    private List<String> unassignedWithoutCopy() {
+      return unservedModels.names().stream()
+          .filter(m -> snapshot.replicas(m) == 0 && !snapshot.hasCopy(m))
+          .filter(m -> !serverIdByModel.containsKey(m))
+          .sorted(
+              Comparator.<String>comparingLong(m -> -unservedModels.requests(m))
+                  .thenComparingLong(m -> -unservedModels.unservedMillis(m)))
+          .toList();
+    }
+
+    /**
+     * Uses the remaining store loads for other models of which no server has a copy, in the order
+     * of the configuration.
+     */
+    private void placeModelsWithoutCopy() {
+      snapshot.engine().models().keySet().stream()
+          .filter(model -> lowDemandLoadsLeft > 0 && !snapshot.hasCopy(model))
+          .forEach(model -> place(model, lowDemandLoadsLeft));
+    }
+
     /**
      * Reserves the server that can load a model earliest. A busy server may be the best one because
-     * it has a copy of the weights; it then stays reserved for the model.
+     * it has a copy of the weights; it then stays reserved for the model. A server that loads from
+     * the weight store must be able to start the load now, as each load occupies it for seconds.
+     *
+     * @param model name of the model
+     * @param storeLoads number of loads from the weight store that may start for the model
      */
-    private void place(String model) {
+    private void place(String model, int storeLoads) {
       if (serverIdByModel.containsKey(model)) {
         return;
       }
@@ -195,9 +238,12 @@
               .filter(s -> !s.entry().draining() && !isStalled(s))
               .filter(s -> !reservedServers.contains(s.id()))
               .filter(s -> !s.serves(model) && MemoryUse.canHost(snapshot, s, spec))
-              .filter(s -> sourceOn(s, model) != LoadSource.STORE || mayUseStore(s, model))
+              .filter(
+                  s ->
+                      sourceOn(s, model) != LoadSource.STORE
+                          || (storeLoads > 0 && s.canAcceptOrder()))
               .min(
-                  Comparator.<ServerOrderState>comparingLong(s -> readyMillis(s, spec))
+                  Comparator.<ServerOrderState>comparingLong(s -> loadTimes.readyMillis(s, spec))
                       .thenComparingDouble(this::hostedRatePerSecond)
                       .thenComparingInt(s -> s.entry().inventory().onDisk().size())
                       .thenComparing(ServerOrderState::id));
@@ -210,30 +256,6 @@
       }
     }
 
-    /**
-     * Returns whether a server may load a model from the store. The server must be able to start
-     * the load now, and a model of which a copy exists must be under-provisioned: the store serves
-     * few loads, and each occupies its server for seconds.
-     */
-    private boolean mayUseStore(ServerOrderState server, String model) {
-      double ratePerSecond = snapshot.totalDemand(model).ratePerSecond();
-      boolean underProvisioned =
-          ReplicaTarget.isUnderProvisioned(
-              ratePerSecond, snapshot.replicas(model), snapshot.engine().slots());
-      return server.canAcceptOrder()
-          && (underProvisioned
-              ? storeLoadsLeft > 0
-              : lowDemandLoadsLeft > 0 && !snapshot.hasCopy(model));
-    }
-
-    /** Returns the monotonic time at which a server can have loaded a model, in milliseconds. */
-    private long readyMillis(ServerOrderState server, ModelSpec spec) {
-      long busyMillis = server.entry().inventory().busy() ? UNTRACKED_ORDER_MILLIS : 0;
-      return server.expectedReadyMillis(snapshot.nowMillis())
-          + busyMillis
-          + expectedMillis(server, spec);
-    }
-
     /** Returns the request rate of the models on a server, divided among their replicas. */
     private double hostedRatePerSecond(ServerOrderState server) {
       return server.entry().inventory().adaptersByModel().keySet().stream()
@@ -250,12 +272,6 @@
       return LoadSource.of(server.entry().inventory(), model);
     }
 
-    private long expectedMillis(ServerOrderState server, ModelSpec spec) {
-      double free = MemoryUse.freeMegabytes(snapshot.engine(), server);
-      long unloadMillis = free >= spec.weightsMegabytes() ? 0 : UNLOAD_MILLIS;
-      return unloadMillis + sourceOn(server, spec.name()).loadMillis(spec);
-    }
-
     /** Adds the next order of each swap whose server can accept one. */
     private void addNextOrders() {
       Map<String, String> swaps = new HashMap<>(serverIdByModel);
@@ -302,59 +318,5 @@
                       snapshot, model, unservedModels.unservedMillis(model), reservedServers))
           .toList();
     }
-
-    /** Returns when each model with waiting requests is expected to be loaded. */
-    private Map<ModelRef, Long> expectedLoadTimes() {
-      Map<ModelRef, Long> readyAt = new HashMap<>();
-      long storeQueueMillis = 0;
-      for (String model : snapshot.engine().models().keySet()) {
-        if (snapshot.totalDemand(model).waiting() == 0) {
-          continue;
-        }
-        Optional<Long> expected = expectedReadyMillis(model);
-        long readyAtMillis =
-            expected.orElse(
-                snapshot.nowMillis()
-                    + snapshot.engine().models().get(model).storeLoadMillis()
-                    + storeQueueMillis);
-        if (expected.isEmpty()) {
-          storeQueueMillis +=
-              snapshot.engine().models().get(model).storeLoadMillis()
-                  / snapshot.storeCapacity().parallelLoads();
-        }
-        readyAt.put(new ModelRef(model, ""), readyAtMillis);
-      }
-      snapshot
-          .demandByModel()
-          .keySet()
-          .forEach(ref -> readyAt.computeIfAbsent(ref, r -> readyAt.get(r.base())));
-      return readyAt;
-    }
-
-    private Optional<Long> expectedReadyMillis(String model) {
-      ModelSpec spec = snapshot.engine().models().get(model);
-      for (ServerOrderState server : snapshot.servers()) {
-        if (server.serves(model)) {
-          return Optional.of(snapshot.nowMillis());
-        }
-        if (server.isLoading(model) && !isStalled(server)) {
-          return Optional.of(
-              Math.max(server.pendingUntilMillis(), snapshot.nowMillis() + OVERDUE_MILLIS));
-        }
-      }
-      return Optional.ofNullable(serverIdByModel.get(model))
-          .flatMap(snapshot::server)
-          .map(s -> readyMillis(s, spec))
-          .or(() -> earliestReadyFromCopyMillis(spec));
-    }
-
-    /** Returns the earliest time at which a server with a copy can have loaded the model. */
-    private Optional<Long> earliestReadyFromCopyMillis(ModelSpec spec) {
-      return snapshot.servers().stream()
-          .filter(s -> !s.entry().draining() && !isStalled(s))
-          .filter(s -> sourceOn(s, spec.name()) != LoadSource.STORE)
-          .map(s -> readyMillis(s, spec))
-          .min(Comparator.naturalOrder());
-    }
   }
 }
--- a/core/src/test/java/io/nutmegseam/core/orders/RareModelServiceTest.java
+++ b/core/src/test/java/io/nutmegseam/core/orders/RareModelServiceTest.java
@@ -44,7 +44,6 @@
 
   /** Requests are refused at once, since a load from the weight store takes too long for them. */
   @Nested
-  @Tag("known-red")
   class ModelsWithoutCopy {
     @Test
     void should_load_refused_models_before_models_without_requests() {
--- /dev/null
+++ b/core/src/test/java/io/nutmegseam/core/orders/RefusedModelLoadTest.java
@@ -0,0 +1,111 @@
+package io.nutmegseam.core.orders;
+
+import static io.nutmegseam.core.orders.FleetFixtures.engine;
+import static io.nutmegseam.core.orders.FleetFixtures.rate;
+import static io.nutmegseam.core.orders.FleetFixtures.ref;
+import static io.nutmegseam.core.orders.FleetFixtures.server;
+import static io.nutmegseam.core.orders.FleetFixtures.waiting;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.nutmegseam.core.fleet.ModelRef;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Requests for a model without copy are refused at once, so none waits when the weight store can
+ * serve a load, and the loads go to models that are served already or are not requested.
+ */
+class RefusedModelLoadTest {
+  private final SwapPlanner planner = new SwapPlanner();
+
+  private static final ModelDemand REFUSED = new ModelDemand(0, 0, Long.MAX_VALUE, 0.2, 3);
+
+  private final List<ServerOrderState> servers =
+      List.of(
+          server("s1", Set.of("busy"), Set.of("busy")),
+          server("s2", Set.of(), Set.of()),
+          server("s3", Set.of(), Set.of()));
+
+  @Nested
+  class Order {
+    @Test
+    void should_load_a_refused_model_before_a_model_without_requests() {
+      ServiceSnapshot snapshot =
+          new ServiceSnapshot(
+              engine("idle", "rare"),
+              servers,
+              Map.of(ref("rare"), REFUSED),
+              new StoreCapacity(1, 1),
+              0);
+      assertThat(planner.plan(snapshot).orders())
+          .extracting(ModelOrder::ref)
+          .containsExactly(ref("rare"));
+    }
+
+    @Test
+    void should_load_a_refused_model_before_a_spare_replica_of_a_high_demand_model() {
+      ServiceSnapshot snapshot =
+          new ServiceSnapshot(
+              engine("busy", "rare"),
+              servers,
+              Map.of(ref("busy"), rate(6), ref("rare"), REFUSED),
+              new StoreCapacity(1, 1),
+              0);
+      assertThat(planner.plan(snapshot).orders())
+          .extracting(ModelOrder::ref)
+          .containsExactly(ref("rare"));
+    }
+
+    @Test
+    void should_load_a_spare_replica_if_all_requested_models_have_a_copy() {
+      ServiceSnapshot snapshot =
+          new ServiceSnapshot(
+              engine("busy"), servers, Map.of(ref("busy"), rate(6)), new StoreCapacity(1, 1), 0);
+      assertThat(planner.plan(snapshot).orders())
+          .extracting(ModelOrder::ref)
+          .containsExactly(ref("busy"));
+    }
+  }
+
+  @Nested
+  class ReservedLoad {
+    @Test
+    void should_use_the_reserved_store_load_after_the_time_of_a_load() {
+      // GIVEN the only store load is reserved for high-demand models
+      StoreCapacity reserved = new StoreCapacity(1, 2);
+      Map<ModelRef, ModelDemand> demand = Map.of(ref("rare"), REFUSED);
+      ServiceSnapshot first =
+          new ServiceSnapshot(engine("busy", "rare"), servers, demand, reserved, 0);
+      assertThat(planner.plan(first).orders()).isEmpty();
+      // WHEN
+      ServiceSnapshot later =
+          new ServiceSnapshot(engine("busy", "rare"), servers, demand, reserved, 6_001);
+      // THEN
+      assertThat(planner.plan(later).orders())
+          .extracting(ModelOrder::ref)
+          .containsExactly(ref("rare"));
+    }
+  }
+
+  @Nested
+  class ExpectedTime {
+    @Test
+    void should_expect_the_loads_of_waiting_models_one_after_the_other() {
+      // GIVEN no free store load, and the model with more requests first
+      ServiceSnapshot snapshot =
+          new ServiceSnapshot(
+              engine("idle", "rare"),
+              servers,
+              Map.of(ref("idle"), waiting(1, 9_000), ref("rare"), waiting(2, 9_000)),
+              new StoreCapacity(0, 1),
+              0);
+      // WHEN
+      Map<ModelRef, Long> expected = planner.plan(snapshot).readyAtMillisByModel();
+      // THEN
+      assertThat(expected).containsEntry(ref("rare"), 6_000L).containsEntry(ref("idle"), 12_000L);
+    }
+  }
+}
