Let the value of a swap grow while its model is unserved

Cause: waiting models were ranked by the requests that wait now. A popular model always has more of them, so a model with one waiting request lost each round until its caller left, and its next caller began again from zero.

Change: the value of a load grows by itself for each 5 s for which the model has been requested and not served, over all its callers.

Ruled out: first come, first served. Under a lasting overload it serves requests just before their callers leave (SwapPlannerTest$LowDemandBurst holds the rule).

--- a/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
@@ -20,6 +20,9 @@
   /** Added to the replica count, which may be 0, so that a model without replicas ranks first. */
   private static final double REPLICA_COUNT_OFFSET = 0.01;
 
+  /** Each time a model has been unserved for this long, its value grows by its initial value. */
+  private static final double AGEING_MILLIS = 5_000;
+
   /** The swaps in progress: the id of the server that is reserved for each model. */
   private final Map<String, String> serverIdByModel = new HashMap<>();
 
@@ -121,19 +124,26 @@
 
     /**
      * Places each model that has waiting requests, a copy and no replica: first those whose load
-     * has the highest value for the waiting requests, then those with the earliest deadline.
+     * has the highest value for the waiting requests, then those with the earliest deadline. The
+     * value grows with the time for which a model has been unserved; else a model with one waiting
+     * request would lose to models with more for as long as those return.
      */
     private void placeWaitingModels() {
       snapshot.engine().models().keySet().stream()
           .filter(m -> snapshot.totalDemand(m).waiting() > 0)
           .filter(m -> snapshot.replicas(m) == 0 && snapshot.hasCopy(m))
           .sorted(
-              Comparator.<String>comparingDouble(m -> -snapshot.totalDemand(m).value())
+              Comparator.<String>comparingDouble(m -> -agedValue(m))
                   .thenComparingLong(m -> snapshot.totalDemand(m).earliestDeadlineMillis())
                   .thenComparing(Comparator.naturalOrder()))
           .forEach(m -> place(m, 0));
     }
 
+    private double agedValue(String model) {
+      double age = unservedModels.unservedMillis(model) / AGEING_MILLIS;
+      return snapshot.totalDemand(model).value() * (1 + age);
+    }
+
     /**
      * Places further replicas of high-demand models. This precedes the placement of models with few
      * waiting requests, which would otherwise take every server that becomes free. Only models
--- a/core/src/test/java/io/nutmegseam/core/orders/RareModelServiceTest.java
+++ b/core/src/test/java/io/nutmegseam/core/orders/RareModelServiceTest.java
@@ -23,7 +23,6 @@
 
   /** Popular models always have more waiting requests than rare ones. */
   @Nested
-  @Tag("known-red")
   class MoreModelsInDemandThanMemory {
     @Test
     void should_serve_rare_models_beside_popular_ones() {
