Load a model from the weight store if its copies stay unusable

What callers saw: in the simulation of the incident, 4 of 12 models were never served, whose only copies are on two servers full of models in high demand (RareModelServiceTest$CopiesOnServersOfHotModels, failed before, passes now).

Cause: a model of which any server has a copy was never loaded from the store. If the servers with a copy may not evict what they serve, or do not carry out their orders, it could be loaded nowhere.

Change: a model for which no server with a copy could make room for as long as a load from the store takes is ranked among the models without copy.

Ruled out: counting from the time since the model was last served. Where many models compete, no server may be able to evict for a moment, and store loads of 10 s then occupied servers that swaps needed (MoreModelsInDemandThanMemory failed).

--- a/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
@@ -27,6 +27,7 @@
   private final Map<String, String> serverIdByModel = new HashMap<>();
 
   private final UnservedModels unservedModels = new UnservedModels();
+  private final Map<String, Long> copiesUnusableSinceMillis = new HashMap<>();
 
   /**
    * The decisions of one planning round.
@@ -48,12 +49,13 @@
     round.dropEndedSwaps();
     round.placeReplicas();
     round.placeWaitingModels();
-    round.placeUnservedModelsWithoutCopy();
+    round.updateUnusableCopies();
+    round.placeUnservedModelsFromStore();
     round.placeSpareReplicas();
     round.placeModelsWithoutCopy();
     List<DeferredLoad> deferredLoads = round.deferredLoads();
     Map<ModelRef, Long> readyMillisByModel =
-        round.loadTimes.readyMillisByModel(serverIdByModel, round.unassignedWithoutCopy());
+        round.loadTimes.readyMillisByModel(serverIdByModel, round.modelsForStore());
     round.addNextOrders();
     List<ModelOrder> adapters = AdapterPlanner.plan(snapshot, round.orderedServers());
     round.orders.addAll(adapters);
@@ -64,6 +66,7 @@
   public void reset() {
     serverIdByModel.clear();
     unservedModels.clear();
+    copiesUnusableSinceMillis.clear();
   }
 
   private final class Round {
@@ -158,7 +161,7 @@
      * requested model needs the weight store.
      */
     private void placeSpareReplicas() {
-      if (unassignedWithoutCopy().isEmpty()) {
+      if (modelsForStore().isEmpty()) {
         underReplicatedModels().stream()
             .filter(m -> snapshot.replicas(m) < ReplicaTarget.MIN_AVAILABLE_REPLICAS)
             .forEach(m -> place(m, storeLoadsLeft));
@@ -194,13 +197,14 @@
     }
 
     /**
-     * Loads requested models without copy from the weight store. Requests for such a model are
-     * refused at once, since a load takes longer than their callers wait, so the models are ranked
-     * by the requests since they were last served and not by those that wait now. A model that has
-     * been unserved for longer than a load takes may use the loads reserved for high-demand models.
+     * Loads requested models without usable copy from the weight store. Requests for such a model
+     * are refused at once, since a load takes longer than their callers wait, so the models are
+     * ranked by the requests since they were last served and not by those that wait now. A model
+     * that has been unserved for longer than a load takes may use the loads reserved for
+     * high-demand models.
      */
-    private void placeUnservedModelsWithoutCopy() {
-      for (String model : unassignedWithoutCopy()) {
+    private void placeUnservedModelsFromStore() {
+      for (String model : modelsForStore()) {
         long storeLoadMillis = snapshot.engine().models().get(model).storeLoadMillis();
         boolean longUnserved = unservedModels.unservedMillis(model) > storeLoadMillis;
         place(model, longUnserved ? storeLoadsLeft : lowDemandLoadsLeft);
@@ -210,16 +214,45 @@
     /**
      * Returns the requested models that only the weight store has, those with most requests first.
      */
-    private List<String> unassignedWithoutCopy() {
+    private List<String> modelsForStore() {
       return unservedModels.names().stream()
-          .filter(m -> snapshot.replicas(m) == 0 && !snapshot.hasCopy(m))
-          .filter(m -> !serverIdByModel.containsKey(m))
+          .filter(m -> snapshot.replicas(m) == 0 && !serverIdByModel.containsKey(m))
+          .filter(m -> !snapshot.hasCopy(m) || areCopiesUnusable(m))
           .sorted(
               Comparator.<String>comparingLong(m -> -unservedModels.requests(m))
                   .thenComparingLong(m -> -unservedModels.unservedMillis(m)))
           .toList();
     }
 
+    /**
+     * Updates since when no server with a copy can make room for each model to which no server is
+     * assigned: they serve other models in demand, or do not carry out their orders.
+     */
+    private void updateUnusableCopies() {
+      Set<String> unusable = new HashSet<>();
+      unservedModels.names().stream()
+          .filter(m -> snapshot.replicas(m) == 0 && !serverIdByModel.containsKey(m))
+          .filter(m -> !hasUsableCopy(m))
+          .forEach(unusable::add);
+      copiesUnusableSinceMillis.keySet().retainAll(unusable);
+      unusable.forEach(m -> copiesUnusableSinceMillis.putIfAbsent(m, snapshot.nowMillis()));
+    }
+
+    private boolean hasUsableCopy(String model) {
+      ModelSpec spec = snapshot.engine().models().get(model);
+      return snapshot.servers().stream()
+          .filter(s -> sourceOn(s, model) != LoadSource.STORE)
+          .filter(s -> !s.entry().draining() && !isStalled(s))
+          .anyMatch(s -> MemoryUse.canHost(snapshot, s, spec));
+    }
+
+    /** Returns whether copies have been unusable for longer than a load from the store takes. */
+    private boolean areCopiesUnusable(String model) {
+      Long sinceMillis = copiesUnusableSinceMillis.get(model);
+      long storeLoadMillis = snapshot.engine().models().get(model).storeLoadMillis();
+      return sinceMillis != null && snapshot.nowMillis() - sinceMillis > storeLoadMillis;
+    }
+
     /**
      * Uses the remaining store loads for other models of which no server has a copy, in the order
      * of the configuration.
--- a/core/src/test/java/io/nutmegseam/core/orders/RareModelServiceTest.java
+++ b/core/src/test/java/io/nutmegseam/core/orders/RareModelServiceTest.java
@@ -8,7 +8,6 @@
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Nested;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Guards against models that are requested throughout a day and never served. */
@@ -62,7 +61,6 @@
 
   /** The only copies of some models are on servers that serve models in high demand. */
   @Nested
-  @Tag("known-red")
   class CopiesOnServersOfHotModels {
     @Test
     void should_serve_models_whose_copies_are_on_servers_that_cannot_evict() {
