--- a/node/src/main/java/io/nutmegseam/node/gateway/FleetControl.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/FleetControl.java
@@ -36,8 +36,13 @@
   private final Map<Incarnation, ObservedInventory> inventoryByServer = new HashMap<>();
   private final Map<String, String> lastDecodeErrorByKey = new HashMap<>();
 
+  private final Map<String, MergedEntry> mergedById = new HashMap<>();
+
   private record ObservedInventory(Inventory inventory, long receivedMillis) {}
 
+  /** An entry with an observed inventory, and the inputs from which it was merged. */
+  private record MergedEntry(ServerEntry entry, Inventory observed, ServerEntry merged) {}
+
   /**
    * Creates a control without a configuration and servers.
    *
@@ -89,6 +94,7 @@
               }
               return due;
             });
+    mergedById.keySet().retainAll(entryById.keySet());
     Map<String, ServerEntry> merged = new HashMap<>();
     entryById.forEach((id, entry) -> merged.put(id, withObservedInventory(entry)));
     state.setFleet(new Fleet(merged));
@@ -99,9 +105,19 @@
     ObservedInventory observed = inventoryByServer.get(entry.incarnation());
     boolean newer =
         observed != null && observed.inventory().orderCount() >= entry.inventory().orderCount();
-    return newer
-        ? entry.withInventory(InventoryMerger.merge(observed.inventory(), entry.inventory()))
-        : entry;
+    return newer ? merged(entry, observed.inventory()) : entry;
+  }
+
+  /** Merges an entry with an inventory; most entries are the same from one snapshot to the next. */
+  private ServerEntry merged(ServerEntry entry, Inventory observed) {
+    String id = entry.incarnation().id();
+    MergedEntry before = mergedById.get(id);
+    if (before != null && before.entry().equals(entry) && before.observed().equals(observed)) {
+      return before.merged();
+    }
+    ServerEntry merged = entry.withInventory(InventoryMerger.merge(observed, entry.inventory()));
+    mergedById.put(id, new MergedEntry(entry, observed, merged));
+    return merged;
   }
 
   /** Applies rows of the configuration table and returns the update unchanged. */
--- /dev/null
+++ b/node/src/test/java/io/nutmegseam/node/gateway/FleetControlTest.java
@@ -0,0 +1,91 @@
+package io.nutmegseam.node.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.nutmegseam.core.fleet.Incarnation;
+import io.nutmegseam.core.fleet.Inventory;
+import io.nutmegseam.core.fleet.ServerEntry;
+import io.nutmegseam.node.rows.TableUpdate;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class FleetControlTest {
+  private static final Incarnation SERVER = new Incarnation("s1", 1);
+
+  private final TestClock clock = new TestClock();
+  private final GatewayState state = new GatewayState();
+  private final FleetControl control =
+      new FleetControl(
+          state,
+          new RowDecoders("config", "config", "servers", null, null),
+          clock,
+          (kind, subject, detail) -> {},
+          () -> {});
+
+  @BeforeEach
+  void announceServer() {
+    control.onServers(
+        new TableUpdate<>(List.of(entry(inventory(1, "old"))), List.of(), 0, 1, true, 0, 0));
+  }
+
+  /** The holder of the order lease observes inventories before servers announce them. */
+  @Nested
+  class ObservedInventories {
+    @Test
+    void should_override_an_older_entry_and_keep_its_copies_on_disk() {
+      // WHEN
+      control.onInventory(SERVER, observed(2, "new"));
+      control.publish();
+      // THEN
+      assertThat(published().adaptersByModel()).containsOnlyKeys("new");
+      assertThat(published().onDisk()).containsExactlyInAnyOrder("old", "new");
+    }
+
+    @Test
+    void should_follow_each_newer_inventory() {
+      control.onInventory(SERVER, observed(2, "new"));
+      control.publish();
+      control.onInventory(SERVER, observed(3, "newer"));
+      control.publish();
+      assertThat(published().adaptersByModel()).containsOnlyKeys("newer");
+    }
+
+    @Test
+    void should_follow_a_newer_entry_of_the_server() {
+      control.onInventory(SERVER, observed(2, "new"));
+      control.publish();
+      control.onServers(
+          new TableUpdate<>(List.of(entry(inventory(3, "newest"))), List.of(), 1, 2, false, 0, 0));
+      assertThat(published().adaptersByModel()).containsOnlyKeys("newest");
+    }
+
+    @Test
+    void should_lapse_without_a_repetition() {
+      control.onInventory(SERVER, observed(2, "new"));
+      control.publish();
+      clock.advance(4_001);
+      control.publish();
+      assertThat(published().adaptersByModel()).containsOnlyKeys("old");
+    }
+  }
+
+  private Inventory published() {
+    return state.fleet().entry(SERVER.id()).orElseThrow().inventory();
+  }
+
+  private static ServerEntry entry(Inventory inventory) {
+    return new ServerEntry(SERVER, "llm", "127.0.0.1", 1, "dc", 12, false, inventory);
+  }
+
+  private static Inventory inventory(long orderCount, String model) {
+    return new Inventory(orderCount, false, Map.of(model, Set.of()), Set.of(), Set.of(model));
+  }
+
+  private static Inventory observed(long orderCount, String model) {
+    return new Inventory(orderCount, false, Map.of(model, Set.of()), Set.of(), Set.of());
+  }
+}
