Keep the gap between two holders' orders over an interrupted handover

Cause: a row that names this VM as holder let orders begin at once. It also names this VM if the response to an acquisition was lost, or if the process that acquired the lease has just been replaced.

Change: the row says whether its writer could send orders when it wrote it. If not, its next writer on the VM waits the whole gap from when it first saw the row. A row of an older version counts as not complete.

Evidence: OrderLeaseTest$InterruptedHandover, two of three cases fail without the rule (orders from 2,860 ms and 2,560 ms after the release, 3,300 ms required). The third states what is written.

--- a/core/src/main/java/io/nutmegseam/core/orders/OrderLease.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/OrderLease.java
@@ -168,10 +168,22 @@
         .orElse(Long.MIN_VALUE);
   }
 
+  /** Returns whether a holder that writes the row now may send orders at once. */
+  public boolean isHandoverComplete(long nowMillis) {
+    return tenure.map(Tenure::ordersFromMillis).orElseGet(() -> ordersFromMillis(nowMillis))
+        <= nowMillis;
+  }
+
   private long ordersFromMillis(long nowMillis) {
-    if (row.isEmpty() || row.get().holder().isEmpty() || self.replacesHolderOf(row.get())) {
+    if (row.isEmpty() || row.get().holder().isEmpty()) {
       return nowMillis;
     }
+    if (self.replacesHolderOf(row.get())) {
+      // An earlier process of this VM, or an acquisition of this one whose response was lost.
+      return row.get().handoverComplete()
+          ? nowMillis
+          : Math.max(nowMillis, rowUnchangedSinceMillis + timing.handoverGapMillis());
+    }
     if (row.get().released()) {
       return Math.max(nowMillis, rowUnchangedSinceMillis + timing.handoverGapMillis());
     }
--- a/core/src/test/java/io/nutmegseam/core/orders/OrderLeaseTest.java
+++ b/core/src/test/java/io/nutmegseam/core/orders/OrderLeaseTest.java
@@ -52,7 +52,7 @@
   @Nested
   class RestartedHolder {
     private final OrderLeaseRow before =
-        new OrderLeaseRow(3, "me-before", SELF.node(), SELF.peerAddress(), false);
+        new OrderLeaseRow(3, "me-before", SELF.node(), SELF.peerAddress(), false, true);
 
     @Test
     void should_acquire_the_lease_of_the_previous_process_immediately() {
@@ -69,7 +69,8 @@
 
     @Test
     void should_wait_for_the_lease_of_a_node_with_the_same_name_at_another_address() {
-      OrderLeaseRow replaced = new OrderLeaseRow(3, "me-before", SELF.node(), "10.0.0.9:1", false);
+      OrderLeaseRow replaced =
+          new OrderLeaseRow(3, "me-before", SELF.node(), "10.0.0.9:1", false, true);
       OrderLease read = OrderLease.unread(SELF, TIMING).observe(replaced, 0);
       assertThat(read.next(0)).isEqualTo(OrderLease.Step.WAIT);
     }
@@ -137,7 +138,49 @@
     }
   }
 
+  /**
+   * A node acquires the lease that another one has just released, but the response is lost or the
+   * process is replaced, so the row names this VM before the gap after the other node's orders has
+   * passed. Two nodes would send orders in turns.
+   */
+  @Nested
+  class InterruptedHandover {
+    private static final long RELEASE_SEEN_MILLIS = 0;
+
+    private final OrderLease released =
+        OrderLease.unread(SELF, TIMING).observe(row(3, "other", true), RELEASE_SEEN_MILLIS);
+
+    @Test
+    void should_keep_the_handover_gap_after_a_lost_write_response() {
+      // GIVEN a write at 2,000 without response, which the next read shows
+      OrderLease read = released.observe(interrupted("me"), 2_800);
+      // WHEN
+      OrderLease held = read.afterWrite(interrupted("me"), 2_850, 2_860);
+      // THEN
+      assertThat(held.tenure().orElseThrow().ordersFromMillis() - RELEASE_SEEN_MILLIS)
+          .isGreaterThanOrEqualTo(TIMING.handoverGapMillis());
+    }
+
+    @Test
+    void should_keep_the_handover_gap_in_the_next_process_of_the_vm() {
+      OrderLease read = OrderLease.unread(SELF, TIMING).observe(interrupted("me-before"), 2_500);
+      OrderLease held = read.afterWrite(interrupted("me"), 2_550, 2_560);
+      assertThat(held.tenure().orElseThrow().ordersFromMillis() - RELEASE_SEEN_MILLIS)
+          .isGreaterThanOrEqualTo(TIMING.handoverGapMillis());
+    }
+
+    @Test
+    void should_state_in_the_row_whether_the_handover_is_complete() {
+      assertThat(released.isHandoverComplete(RELEASE_SEEN_MILLIS + 3_299)).isFalse();
+      assertThat(released.isHandoverComplete(RELEASE_SEEN_MILLIS + 3_300)).isTrue();
+    }
+
+    private OrderLeaseRow interrupted(String process) {
+      return new OrderLeaseRow(4, process, SELF.node(), SELF.peerAddress(), false, false);
+    }
+  }
+
   private static OrderLeaseRow row(long version, String holder, boolean released) {
-    return new OrderLeaseRow(version, holder, "node-of-" + holder, "127.0.0.1:1", released);
+    return new OrderLeaseRow(version, holder, "node-of-" + holder, "127.0.0.1:1", released, true);
   }
 }
--- a/node/src/main/java/io/nutmegseam/node/gateway/LeaseControl.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/LeaseControl.java
@@ -227,15 +227,20 @@
     callInFlight = true;
     long sentMillis = monotonicClock.millis();
     long expected = lease.expectedVersion();
-    OrderLeaseRow next = ownRow(0, release);
+    boolean handoverComplete = lease.isHandoverComplete(sentMillis);
+    OrderLeaseRow next = ownRow(0, release, handoverComplete);
     writer
         .write(KEY, expected, encode(next))
         .whenComplete(
-            (version, e) -> thread.execute(() -> onWritten(step, sentMillis, version, e)));
+            (version, e) -> thread.execute(() -> onWritten(step, next, sentMillis, version, e)));
   }
 
   private void onWritten(
-      OrderLease.Step step, long sentMillis, Optional<Long> version, Throwable failure) {
+      OrderLease.Step step,
+      OrderLeaseRow written,
+      long sentMillis,
+      Optional<Long> version,
+      Throwable failure) {
     callInFlight = false;
     if (stopping) {
       return;
@@ -245,7 +250,7 @@
       read();
       return;
     }
-    OrderLeaseRow row = ownRow(version.get(), false);
+    OrderLeaseRow row = ownRow(version.get(), false, written.handoverComplete());
     if (step == OrderLease.Step.RENEW && lease.tenure().isEmpty()) {
       lease = lease.observe(row, monotonicClock.millis());
       return;
@@ -256,8 +261,9 @@
     }
   }
 
-  private OrderLeaseRow ownRow(long version, boolean released) {
-    return new OrderLeaseRow(version, self.process(), self.node(), self.peerAddress(), released);
+  private OrderLeaseRow ownRow(long version, boolean released, boolean handoverComplete) {
+    return new OrderLeaseRow(
+        version, self.process(), self.node(), self.peerAddress(), released, handoverComplete);
   }
 
   private static String encode(OrderLeaseRow row) {
@@ -266,6 +272,7 @@
         .put("node", row.node())
         .put("peerAddress", row.peerAddress())
         .put("released", row.released())
+        .put("handoverComplete", row.handoverComplete())
         .toString();
   }
 
@@ -277,11 +284,12 @@
           json.path("holder").asText(),
           json.path("node").asText(),
           json.path("peerAddress").asText(),
-          json.path("released").asBoolean());
+          json.path("released").asBoolean(),
+          json.path("handoverComplete").asBoolean());
     } catch (JsonProcessingException e) {
       // Nobody can renew an unreadable row, so it counts as held by an unknown process until it
       // lapses.
-      return new OrderLeaseRow(row.version(), "unreadable", "", "", false);
+      return new OrderLeaseRow(row.version(), "unreadable", "", "", false, true);
     }
   }
 }
