Let models that are not served share the weight store with overloaded ones

All seven store loads begun during the traffic went to models in high demand: first copies of two, one of them ordered twice, and four further replicas of models that had several hundred answers at the end.

Change: while both kinds need the store, they take turns. Loads that the other kind can't use are not left idle.

Tests: RefusedModelLoadTest$OverloadedModels, both cases failed before.

--- a/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
@@ -29,6 +29,9 @@
   private final UnservedModels unservedModels = new UnservedModels();
   private final Map<String, Long> copiesUnusableSinceMillis = new HashMap<>();
 
+  /** Whether the last load from the weight store was for a model that was served already. */
+  private boolean firstCopyIsNext;
+
   /**
    * The decisions of one planning round.
    *
@@ -51,6 +54,7 @@
     round.placeWaitingModels();
     round.updateUnusableCopies();
     round.placeUnservedModelsFromStore();
+    round.placeOverloadedModelsFromStore();
     round.placeSpareReplicas();
     round.placeModelsWithoutCopy();
     List<DeferredLoad> deferredLoads = round.deferredLoads();
@@ -67,6 +71,7 @@
     serverIdByModel.clear();
     unservedModels.clear();
     copiesUnusableSinceMillis.clear();
+    firstCopyIsNext = false;
   }
 
   private final class Round {
@@ -149,11 +154,25 @@
 
     /**
      * Places further replicas of high-demand models. This precedes the placement of models with few
-     * waiting requests, which would otherwise take every server that becomes free. Only models
-     * whose replicas are overloaded use the weight store.
+     * waiting requests, which would otherwise take every server that becomes free. Of these models
+     * only the overloaded ones use the weight store, in turns with models that are not served at
+     * all: each kind could use it for as long as its demand lasts.
      */
     private void placeReplicas() {
-      underReplicatedModels().forEach(m -> place(m, isOverloaded(m) ? storeLoadsLeft : 0));
+      for (String model : underReplicatedModels()) {
+        boolean yields = firstCopyIsNext && !modelsForStore().isEmpty();
+        int storeLoads = yields ? storeLoadsLeft - 1 : storeLoadsLeft;
+        if (place(model, isOverloaded(model) ? storeLoads : 0)) {
+          firstCopyIsNext = snapshot.replicas(model) > 0;
+        }
+      }
+    }
+
+    /** Uses the store loads that are left for replicas of overloaded models. */
+    private void placeOverloadedModelsFromStore() {
+      underReplicatedModels().stream()
+          .filter(this::isOverloaded)
+          .forEach(model -> place(model, storeLoadsLeft));
     }
 
     /**
@@ -207,7 +226,9 @@
       for (String model : modelsForStore()) {
         long storeLoadMillis = snapshot.engine().models().get(model).storeLoadMillis();
         boolean longUnserved = unservedModels.unservedMillis(model) > storeLoadMillis;
-        place(model, longUnserved ? storeLoadsLeft : lowDemandLoadsLeft);
+        if (place(model, longUnserved || firstCopyIsNext ? storeLoadsLeft : lowDemandLoadsLeft)) {
+          firstCopyIsNext = false;
+        }
       }
     }
 
@@ -270,10 +291,11 @@
      *
      * @param model name of the model
      * @param storeLoads number of loads from the weight store that may start for the model
+     * @return whether a load from the weight store was reserved
      */
-    private void place(String model, int storeLoads) {
+    private boolean place(String model, int storeLoads) {
       if (serverIdByModel.containsKey(model)) {
-        return;
+        return false;
       }
       ModelSpec spec = snapshot.engine().models().get(model);
       Optional<ServerOrderState> bestServer =
@@ -290,13 +312,16 @@
                       .thenComparingDouble(this::hostedRatePerSecond)
                       .thenComparingInt(s -> s.entry().inventory().onDisk().size())
                       .thenComparing(ServerOrderState::id));
-      if (bestServer.isPresent()) {
-        if (sourceOn(bestServer.get(), model) == LoadSource.STORE) {
-          reserveStoreLoad();
-        }
-        serverIdByModel.put(model, bestServer.get().id());
-        reservedServers.add(bestServer.get().id());
+      if (bestServer.isEmpty()) {
+        return false;
+      }
+      boolean fromStore = sourceOn(bestServer.get(), model) == LoadSource.STORE;
+      if (fromStore) {
+        reserveStoreLoad();
       }
+      serverIdByModel.put(model, bestServer.get().id());
+      reservedServers.add(bestServer.get().id());
+      return fromStore;
     }
 
     /** Returns the request rate of the models on a server, divided among their replicas. */
--- a/core/src/test/java/io/nutmegseam/core/orders/RefusedModelLoadTest.java
+++ b/core/src/test/java/io/nutmegseam/core/orders/RefusedModelLoadTest.java
@@ -70,6 +70,60 @@
     }
   }
 
+  /** Overloaded models need further replicas for as long as their demand lasts. */
+  @Nested
+  class OverloadedModels {
+    private final Map<ModelRef, ModelDemand> demand =
+        Map.of(ref("busy"), rate(60), ref("other"), rate(50), ref("rare"), REFUSED);
+
+    private final List<ServerOrderState> overloadedServers =
+        List.of(
+            server("s1", Set.of("busy"), Set.of("busy")),
+            server("s2", Set.of("other"), Set.of("other")),
+            server("s3", Set.of(), Set.of()),
+            server("s4", Set.of(), Set.of()));
+
+    @Test
+    void should_share_the_store_with_refused_models() {
+      // GIVEN two store loads, and two overloaded models that need one each
+      ServiceSnapshot snapshot = snapshot(overloadedServers, 2, 0);
+      // WHEN
+      List<ModelOrder> orders = planner.plan(snapshot).orders();
+      // THEN
+      assertThat(orders)
+          .extracting(ModelOrder::ref)
+          .containsExactlyInAnyOrder(ref("busy"), ref("rare"));
+    }
+
+    @Test
+    void should_take_turns_with_refused_models_if_the_store_serves_one_load() {
+      // GIVEN the first load is for an overloaded model
+      assertThat(planner.plan(snapshot(overloadedServers, 1, 0)).orders())
+          .extracting(ModelOrder::ref)
+          .containsExactly(ref("busy"));
+      // WHEN the load has ended and the model needs yet another replica
+      List<ServerOrderState> loaded =
+          List.of(
+              server("s1", Set.of("busy"), Set.of("busy")),
+              server("s2", Set.of("other"), Set.of("other")),
+              server("s3", Set.of("busy"), Set.of("busy")),
+              server("s4", Set.of(), Set.of()));
+      // THEN
+      assertThat(planner.plan(snapshot(loaded, 1, 7_000)).orders())
+          .extracting(ModelOrder::ref)
+          .containsExactly(ref("rare"));
+    }
+
+    private ServiceSnapshot snapshot(List<ServerOrderState> state, int storeLoads, long nowMillis) {
+      return new ServiceSnapshot(
+          engine("busy", "other", "rare"),
+          state,
+          demand,
+          new StoreCapacity(storeLoads, storeLoads),
+          nowMillis);
+    }
+  }
+
   @Nested
   class ReservedLoad {
     @Test
