Follow the eras of the store, which may return from an older copy

What callers would see: the store may be away for a moment and return from a copy some seconds old. Its versions go back and are given out again. A node that knew version 70 would have taken the changes after a new 70 for the next ones and mixed two histories, or ignored its peers until the versions had caught up.

Changes after a position of an earlier era count as missing history, so the table is read in full; its missing rows get the settle time of an outage. STORE_RESTORED (503) names both positions.

--- a/core/src/main/java/io/nutmegseam/core/event/EventKind.java
+++ b/core/src/main/java/io/nutmegseam/core/event/EventKind.java
@@ -100,6 +100,8 @@
   PLATFORM_BACK(501),
   /** A row is written through another node because this node's calls to the store fail. */
   WRITE_RELAYED(502),
+  /** The platform's store has returned from an older copy; what was written since is lost. */
+  STORE_RESTORED(503),
   /** Log lines were dropped because the log output was too slow. */
   LOG_DROPPED(901),
   /** An internal error of the node. */
--- a/core/src/main/java/io/nutmegseam/core/platform/Row.java
+++ b/core/src/main/java/io/nutmegseam/core/platform/Row.java
@@ -5,6 +5,7 @@
  *
  * @param key key of the row
  * @param value value of the row, as JSON text
- * @param version commit number of the last write of the row; rises across all rows of the table
+ * @param version {@link StorePosition} of the last write of the row; rises across all rows of the
+ *     table
  */
 public record Row(String key, String value, long version) {}
--- a/node/src/main/java/io/nutmegseam/node/rows/RowStore.java
+++ b/node/src/main/java/io/nutmegseam/node/rows/RowStore.java
@@ -7,7 +7,8 @@
 
 /**
  * Reads and writes rows of the tables in the platform's store. Results fail with a {@link
- * CallException} if there is no usable response.
+ * CallException} if there is no usable response. Versions are {@linkplain
+ * io.nutmegseam.core.platform.StorePosition positions}, which rise over the eras of the store.
  */
 public interface RowStore {
   /**
@@ -28,7 +29,8 @@
    * @param table name of the table
    * @param afterVersion version of the previous result
    * @param waitMillis longest time that the store may wait for a change, in milliseconds
-   * @return the changes, or empty if the store no longer has the history after that version
+   * @return the changes, or empty if the store no longer has the history after that version, or is
+   *     in a later era
    */
   CompletableFuture<Optional<ReadResult>> readChanges(
       String table, long afterVersion, long waitMillis);
@@ -43,7 +45,8 @@
    * @param key key of the row
    * @param expectedVersion version that the row must have; 0 if the row must not exist
    * @param value the new value
-   * @return the new version, or empty if the row has another version
+   * @return the new version, or empty if the row has another version or the expected one belongs to
+   *     an earlier era
    */
   CompletableFuture<Optional<Long>> write(
       String table, String key, long expectedVersion, String value);
--- a/node/src/main/java/io/nutmegseam/node/rows/TableWatcher.java
+++ b/node/src/main/java/io/nutmegseam/node/rows/TableWatcher.java
@@ -3,6 +3,7 @@
 import io.nutmegseam.core.event.EventKind;
 import io.nutmegseam.core.event.EventSink;
 import io.nutmegseam.core.platform.Row;
+import io.nutmegseam.core.platform.StorePosition;
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
@@ -35,6 +36,7 @@
   private final Relay<T> relay;
   private final Context context;
   private long version = UNKNOWN_VERSION;
+  private boolean fullReadDue = true;
   private boolean readInFlight;
   private boolean storeUnavailable;
   private long retryMillis = FIRST_RETRY_MILLIS;
@@ -136,11 +138,15 @@
       return;
     }
     boolean contiguous =
-        update.full() || (version != UNKNOWN_VERSION && update.afterVersion() <= version);
+        update.full()
+            || (version != UNKNOWN_VERSION
+                && update.afterVersion() <= version
+                && StorePosition.era(update.version()) == StorePosition.era(version));
     if (!contiguous) {
       nextReadMillis = Math.min(nextReadMillis, nowMillis);
       return;
     }
+    noteEra(update.version());
     if (update.unsettledMillis() > 0) {
       long recoveryMillis = nowMillis - SETTLE_MILLIS + update.unsettledMillis();
       recoveredAtMillis = Math.max(recoveredAtMillis, recoveryMillis);
@@ -148,6 +154,7 @@
     lastResponseMillis = Math.max(lastResponseMillis, nowMillis - update.ageMillis());
     if (update.version() > version) {
       version = update.version();
+      fullReadDue &= !update.full();
       sink.apply(update);
     }
     if (followed) {
@@ -175,7 +182,7 @@
 
   private void read() {
     long after = version;
-    if (after == UNKNOWN_VERSION) {
+    if (fullReadDue) {
       source
           .store()
           .readAll(source.table())
@@ -207,8 +214,10 @@
           .record(
               EventKind.PLATFORM_BACK,
               source.table(),
-              "history after version " + after + " is unavailable; reading the full table");
-      version = UNKNOWN_VERSION;
+              "history after version "
+                  + StorePosition.text(after)
+                  + " is unavailable; reading the full table");
+      fullReadDue = true;
       nextReadMillis = nowMillis();
     } else {
       onRead(after, result.get(), false);
@@ -222,17 +231,37 @@
       // An update of another node that is newer than this result was applied during the read.
       return;
     }
+    noteEra(newVersion);
     List<T> items = result.rows().stream().map(decoder).flatMap(Optional::stream).toList();
     long unsettledMillis = Math.max(0, recoveredAtMillis + SETTLE_MILLIS - nowMillis());
     TableUpdate<T> update =
         new TableUpdate<>(items, result.removedKeys(), after, newVersion, full, 0, unsettledMillis);
     version = newVersion;
+    fullReadDue = false;
     TableUpdate<T> changed = sink.apply(update);
     if (nowMillis() >= updatesValidUntilMillis) {
       relay.forward(source.table(), changed);
     }
   }
 
+  /**
+   * Starts the time in which rows may return if a version belongs to a later era: rows that are
+   * missing from the older copy are written again by those whom they describe.
+   */
+  private void noteEra(long newVersion) {
+    if (version == UNKNOWN_VERSION || StorePosition.era(newVersion) <= StorePosition.era(version)) {
+      return;
+    }
+    recoveredAtMillis = nowMillis();
+    context
+        .events()
+        .record(
+            EventKind.STORE_RESTORED,
+            source.table(),
+            "version %s, was %s; read the full table"
+                .formatted(StorePosition.text(newVersion), StorePosition.text(version)));
+  }
+
   private void onResponse() {
     lastResponseMillis = nowMillis();
     retryMillis = FIRST_RETRY_MILLIS;
--- a/node/src/test/java/io/nutmegseam/node/rows/TableWatcherTest.java
+++ b/node/src/test/java/io/nutmegseam/node/rows/TableWatcherTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.nutmegseam.core.platform.Row;
+import io.nutmegseam.core.platform.StorePosition;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
@@ -239,6 +240,83 @@
     }
   }
 
+  /**
+   * The store is away for a moment and returns from an older copy. Its versions go back and are
+   * given out again, so that old and new rows would be mixed.
+   */
+  @Nested
+  class RestoredStore {
+    private static final long NEW_ERA = 1;
+
+    @Test
+    void should_apply_the_full_table_of_a_new_era_although_its_version_is_lower() {
+      // GIVEN
+      store.addResult(result(70, "a"));
+      watcher.tick();
+      store.addMissingHistory();
+      run(TIMING.pauseMillis());
+      store.addResult(result(StorePosition.of(NEW_ERA, 20), "b"));
+      // WHEN
+      watcher.tick();
+      // THEN
+      assertThat(applied).extracting(TableUpdate::full).containsExactly(true, true);
+      assertThat(applied.get(1).items()).extracting(Row::key).containsExactly("b");
+    }
+
+    @Test
+    void should_report_that_missing_rows_may_return_although_no_read_failed() {
+      store.addResult(result(70, "a"));
+      watcher.tick();
+      store.addMissingHistory();
+      run(TIMING.pauseMillis());
+      store.addResult(result(StorePosition.of(NEW_ERA, 20), "b"));
+      watcher.tick();
+      assertThat(applied.get(1).unsettledMillis()).isEqualTo(TableWatcher.SETTLE_MILLIS);
+    }
+
+    @Test
+    void should_ignore_an_update_of_an_earlier_era() {
+      // GIVEN
+      store.addResult(result(StorePosition.of(NEW_ERA, 20), "b"));
+      watcher.tick();
+      // WHEN
+      watcher.onUpdate(update(60, 70, 0), true);
+      // THEN
+      assertThat(applied).hasSize(1);
+    }
+
+    @Test
+    void should_not_apply_changes_of_a_new_era_to_the_rows_of_an_earlier_one() {
+      // GIVEN a table that another node has read in the new era; the update with all rows was lost
+      store.addResult(result(70, "a"));
+      watcher.tick();
+      store.addMissingHistory();
+      store.addResult(result(StorePosition.of(NEW_ERA, 22), "b"));
+      // WHEN
+      watcher.onUpdate(update(0, StorePosition.of(NEW_ERA, 21), 0), true);
+      watcher.tick();
+      watcher.tick();
+      // THEN
+      assertThat(applied).extracting(TableUpdate::full).containsExactly(true, true);
+    }
+
+    @Test
+    void should_apply_a_full_update_of_a_new_era_without_a_read_of_its_own() {
+      store.addResult(result(70, "a"));
+      watcher.tick();
+      int callsBefore = store.calls;
+      watcher.onUpdate(fullUpdate(StorePosition.of(NEW_ERA, 20)), true);
+      run(TIMING.pauseMillis());
+      assertThat(applied).hasSize(2);
+      assertThat(store.calls).isEqualTo(callsBefore);
+    }
+
+    private TableUpdate<Row> fullUpdate(long version) {
+      return new TableUpdate<>(
+          List.of(new Row("n", "{}", version)), List.of(), 0, version, true, 0, 0);
+    }
+  }
+
   private void run(long millis) {
     long untilMillis = clock.millis() + millis;
     while (clock.millis() < untilMillis) {
