Keep draining and removed servers out over a return of the store

What callers would see: after the store has returned from an older copy, a server that had reported draining is listed as ready again, and a server that is gone is listed until its entry lapses. Requests would go to both.

Change: a server that was draining stays draining until it restarts. A server that was removed within the last 60 s is not taken from the first table of a new era; if it lives, it writes its entry again, which counts. Servers that the copy lacks have the settle time of an outage to come back.

Tests: FleetControlTest$RestoredStore, two of four cases failed before (draining, removed); the others hold what must not be lost by the change.

--- a/node/src/main/java/io/nutmegseam/node/gateway/FleetControl.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/FleetControl.java
@@ -8,6 +8,7 @@
 import io.nutmegseam.core.fleet.ServerEntry;
 import io.nutmegseam.core.gateway.GatewayConfig;
 import io.nutmegseam.core.platform.Row;
+import io.nutmegseam.core.platform.StorePosition;
 import io.nutmegseam.node.rows.TableUpdate;
 import java.time.InstantSource;
 import java.util.ArrayList;
@@ -26,6 +27,12 @@
   /** An inventory from the order lease holder overrides older store entries for this time. */
   private static final long INVENTORY_RETENTION_MILLIS = 4_000;
 
+  /**
+   * A removed server is remembered for this time, which is longer than the age of the copy from
+   * which the store may return.
+   */
+  private static final long REMOVED_RETENTION_MILLIS = 60_000;
+
   private final GatewayState state;
   private final RowDecoders decoders;
   private final InstantSource clock;
@@ -33,6 +40,8 @@
   private final Runnable onChange;
   private final Map<String, ServerEntry> entryById = new HashMap<>();
   private final Map<String, Long> removeAtMillisById = new HashMap<>();
+  private final Map<Incarnation, Long> removedMillisByServer = new HashMap<>();
+  private long serversVersion;
   private final Map<Incarnation, ObservedInventory> inventoryByServer = new HashMap<>();
   private final Map<String, String> lastDecodeErrorByKey = new HashMap<>();
 
@@ -90,7 +99,8 @@
             entry -> {
               boolean due = entry.getValue() <= nowMillis;
               if (due) {
-                entryById.remove(entry.getKey());
+                ServerEntry removed = entryById.remove(entry.getKey());
+                removedMillisByServer.put(removed.incarnation(), nowMillis);
               }
               return due;
             });
@@ -154,7 +164,13 @@
   TableUpdate<ServerEntry> onServers(TableUpdate<ServerEntry> update) {
     List<ServerEntry> changed = new ArrayList<>();
     Set<String> present = new HashSet<>();
+    boolean restored =
+        StorePosition.era(update.version()) > StorePosition.era(serversVersion) && !isEmpty();
+    serversVersion = update.version();
     for (ServerEntry entry : update.items()) {
+      if (restored && isRemoved(entry.incarnation())) {
+        continue;
+      }
       present.add(entry.incarnation().id());
       if (onEntry(entry)) {
         changed.add(entry);
@@ -172,13 +188,30 @@
     return update.full() ? update : update.withItems(changed);
   }
 
+  private boolean isEmpty() {
+    return entryById.isEmpty() && removedMillisByServer.isEmpty();
+  }
+
+  /**
+   * Returns whether a server was removed recently. A store that returns from an older copy lists it
+   * again until its entry lapses; if the server lives, it writes its entry once more.
+   */
+  private boolean isRemoved(Incarnation server) {
+    long nowMillis = clock.millis();
+    removedMillisByServer
+        .values()
+        .removeIf(removedMillis -> nowMillis - removedMillis > REMOVED_RETENTION_MILLIS);
+    return removedMillisByServer.containsKey(server);
+  }
+
   /**
    * Stores an entry; returns whether it differs from the previous one or its removal was scheduled.
    */
   private boolean onEntry(ServerEntry entry) {
     String id = entry.incarnation().id();
     boolean removalPending = removeAtMillisById.remove(id) != null;
-    ServerEntry before = entryById.put(id, withWeightCopies(entry));
+    ServerEntry before = entryById.get(id);
+    entryById.put(id, withWeightCopies(staysDraining(before, entry) ? entry.asDraining() : entry));
     if (before == null || !before.incarnation().equals(entry.incarnation())) {
       events.record(
           EventKind.SERVER_SEEN,
@@ -195,6 +228,14 @@
     return removalPending || before == null || !before.equals(entryById.get(id));
   }
 
+  /** Returns whether an older copy of the store shows a draining server as it was before. */
+  private static boolean staysDraining(ServerEntry before, ServerEntry entry) {
+    return before != null
+        && before.draining()
+        && before.incarnation().equals(entry.incarnation())
+        && !entry.draining();
+  }
+
   /** Adds the weight copies of the previous entry, since updates from other nodes omit them. */
   private ServerEntry withWeightCopies(ServerEntry entry) {
     ServerEntry before = entryById.get(entry.incarnation().id());
--- a/node/src/test/java/io/nutmegseam/node/gateway/FleetControlTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/FleetControlTest.java
@@ -5,6 +5,7 @@
 import io.nutmegseam.core.fleet.Incarnation;
 import io.nutmegseam.core.fleet.Inventory;
 import io.nutmegseam.core.fleet.ServerEntry;
+import io.nutmegseam.core.platform.StorePosition;
 import io.nutmegseam.node.rows.TableUpdate;
 import java.util.List;
 import java.util.Map;
@@ -73,6 +74,62 @@
     }
   }
 
+  /** The store returns from a copy that is older than what this node has read. */
+  @Nested
+  class RestoredStore {
+    private final long restoredVersion = StorePosition.of(1, 1);
+
+    @Test
+    void should_keep_a_server_draining() {
+      // GIVEN
+      control.onServers(delta(2, entry(inventory(1, "old")).asDraining()));
+      // WHEN the copy shows the server before it was drained
+      control.onServers(full(restoredVersion, entry(inventory(1, "old"))));
+      // THEN
+      assertThat(state.fleet().entry(SERVER.id()).orElseThrow().draining()).isTrue();
+    }
+
+    @Test
+    void should_not_list_a_removed_server_again() {
+      // GIVEN
+      removeServer();
+      // WHEN
+      control.onServers(full(restoredVersion, entry(inventory(1, "old"))));
+      // THEN
+      assertThat(state.fleet().entries()).isEmpty();
+    }
+
+    @Test
+    void should_list_a_removed_server_that_writes_its_entry_again() {
+      removeServer();
+      control.onServers(full(restoredVersion, entry(inventory(1, "old"))));
+      control.onServers(delta(restoredVersion + 1, entry(inventory(1, "old"))));
+      assertThat(state.fleet().entries()).hasSize(1);
+    }
+
+    @Test
+    void should_not_remove_a_server_at_once_whose_entry_the_copy_lacks() {
+      control.onServers(
+          new TableUpdate<>(List.of(), List.of(), 0, restoredVersion, true, 0, 2_500));
+      assertThat(state.fleet().entries()).hasSize(1);
+      clock.advance(2_500);
+      control.publishIfDue();
+      assertThat(state.fleet().entries()).isEmpty();
+    }
+
+    private void removeServer() {
+      control.onServers(new TableUpdate<>(List.of(), List.of(SERVER.id()), 1, 2, false, 0, 0));
+    }
+
+    private TableUpdate<ServerEntry> full(long version, ServerEntry entry) {
+      return new TableUpdate<>(List.of(entry), List.of(), 0, version, true, 0, 0);
+    }
+
+    private TableUpdate<ServerEntry> delta(long version, ServerEntry entry) {
+      return new TableUpdate<>(List.of(entry), List.of(), version - 1, version, false, 0, 0);
+    }
+  }
+
   private Inventory published() {
     return state.fleet().entry(SERVER.id()).orElseThrow().inventory();
   }
