Keep one holder of the order lease over a return of the store

What callers would see: after the store has returned from an older copy, its lease row may name an earlier holder, which took it back at once while the holder of the lost history still sent orders. A fence, the version of the row, could go back.

Change: the row says in which era it was written; read in a later one, it is restored and proves only that nobody else may order soon. A new holder then waits until a lease of the lost history has expired, plus the usual gap: 10.3 s after it first saw the row (8 s lease less 1 s margin, 3.3 s gap). A holder that is named and whose tenure has not expired goes on without a pause; an expired one is not renewed from a restored row. Fences are positions, so they rise over eras. A missing row of a store in its second or later era counts as lost. The row now states the time until its holder may order instead of a flag, so that the next process on the VM waits no longer than needed.

--- a/core/src/main/java/io/nutmegseam/core/orders/OrderLease.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/OrderLease.java
@@ -3,9 +3,12 @@
 import java.util.Optional;
 
 /**
- * The lease that lets a single node send orders to servers, which do not check the sender. All
- * times are in milliseconds of a monotonic clock. Since that clock may stop during a suspension,
- * the caller ends the tenure when the monotonic clock and the wall clock diverge. Immutable.
+ * The lease that lets a single node send orders to servers, which do not check the sender. Versions
+ * are {@linkplain io.nutmegseam.core.platform.StorePosition positions} in the history of the store,
+ * so the fence of a tenure is higher than those of earlier ones even if the store's versions go
+ * back. All times are in milliseconds of a monotonic clock. Since that clock may stop during a
+ * suspension, the caller ends the tenure when the monotonic clock and the wall clock diverge.
+ * Immutable.
  */
 public final class OrderLease {
   private final Claimant self;
@@ -89,11 +92,17 @@
     return new OrderLease(self, timing, Optional.empty(), Long.MAX_VALUE, Optional.empty());
   }
 
-  /** Returns the state after a read of the row, {@link OrderLeaseRow#ABSENT} if there is none. */
+  /**
+   * Returns the state after a read of the row, {@link OrderLeaseRow#ABSENT} or {@link
+   * OrderLeaseRow#LOST} if there is none.
+   */
   public OrderLease observe(OrderLeaseRow read, long nowMillis) {
     boolean changed = row.isEmpty() || row.get().version() != read.version();
     long since = changed ? nowMillis : rowUnchangedSinceMillis;
-    boolean stillHolder = tenure.isPresent() && self.isHolderOf(read);
+    // A restored row does not show whether another process has held the lease since this tenure
+    // expired.
+    boolean provesTenure = !read.restored() || nowMillis < ordersUntilMillis();
+    boolean stillHolder = tenure.isPresent() && self.isHolderOf(read) && provesTenure;
     return new OrderLease(
         self, timing, Optional.of(read), since, stillHolder ? tenure : Optional.empty());
   }
@@ -168,21 +177,31 @@
         .orElse(Long.MIN_VALUE);
   }
 
-  /** Returns whether a holder that writes the row now may send orders at once. */
-  public boolean isHandoverComplete(long nowMillis) {
-    return tenure.map(Tenure::ordersFromMillis).orElseGet(() -> ordersFromMillis(nowMillis))
-        <= nowMillis;
+  /**
+   * Returns the time from now until this node may send orders if it writes the row now, in
+   * milliseconds; 0 if it may send them at once.
+   */
+  public long handoverMillis(long nowMillis) {
+    long fromMillis =
+        tenure.map(Tenure::ordersFromMillis).orElseGet(() -> ordersFromMillis(nowMillis));
+    return Math.max(0, fromMillis - nowMillis);
   }
 
   private long ordersFromMillis(long nowMillis) {
-    if (row.isEmpty() || row.get().holder().isEmpty()) {
+    if (row.isEmpty()) {
+      return nowMillis;
+    }
+    if (row.get().restored()) {
+      // A holder in the lost history may send orders until its lease, renewed there, expires.
+      long lastOrderMillis = rowUnchangedSinceMillis + timing.leaseMillis() - timing.marginMillis();
+      return Math.max(nowMillis, lastOrderMillis + timing.handoverGapMillis());
+    }
+    if (row.get().holder().isEmpty()) {
       return nowMillis;
     }
     if (self.replacesHolderOf(row.get())) {
       // An earlier process of this VM, or an acquisition of this one whose response was lost.
-      return row.get().handoverComplete()
-          ? nowMillis
-          : Math.max(nowMillis, rowUnchangedSinceMillis + timing.handoverGapMillis());
+      return Math.max(nowMillis, rowUnchangedSinceMillis + row.get().handoverMillis());
     }
     if (row.get().released()) {
       return Math.max(nowMillis, rowUnchangedSinceMillis + timing.handoverGapMillis());
--- a/core/src/test/java/io/nutmegseam/core/orders/OrderLeaseTest.java
+++ b/core/src/test/java/io/nutmegseam/core/orders/OrderLeaseTest.java
@@ -52,7 +52,7 @@
   @Nested
   class RestartedHolder {
     private final OrderLeaseRow before =
-        new OrderLeaseRow(3, "me-before", SELF.node(), SELF.peerAddress(), false, true);
+        new OrderLeaseRow(3, "me-before", SELF.node(), SELF.peerAddress(), false, 0, false);
 
     @Test
     void should_acquire_the_lease_of_the_previous_process_immediately() {
@@ -70,7 +70,7 @@
     @Test
     void should_wait_for_the_lease_of_a_node_with_the_same_name_at_another_address() {
       OrderLeaseRow replaced =
-          new OrderLeaseRow(3, "me-before", SELF.node(), "10.0.0.9:1", false, true);
+          new OrderLeaseRow(3, "me-before", SELF.node(), "10.0.0.9:1", false, 0, false);
       OrderLease read = OrderLease.unread(SELF, TIMING).observe(replaced, 0);
       assertThat(read.next(0)).isEqualTo(OrderLease.Step.WAIT);
     }
@@ -146,13 +146,15 @@
   @Nested
   class InterruptedHandover {
     private static final long RELEASE_SEEN_MILLIS = 0;
+    private static final long WRITTEN_MILLIS = 2_000;
+    private static final long HANDOVER_MILLIS = TIMING.handoverGapMillis() - WRITTEN_MILLIS;
 
     private final OrderLease released =
         OrderLease.unread(SELF, TIMING).observe(row(3, "other", true), RELEASE_SEEN_MILLIS);
 
     @Test
     void should_keep_the_handover_gap_after_a_lost_write_response() {
-      // GIVEN a write at 2,000 without response, which the next read shows
+      // GIVEN a write without response, which the next read shows
       OrderLease read = released.observe(interrupted("me"), 2_800);
       // WHEN
       OrderLease held = read.afterWrite(interrupted("me"), 2_850, 2_860);
@@ -170,17 +172,19 @@
     }
 
     @Test
-    void should_state_in_the_row_whether_the_handover_is_complete() {
-      assertThat(released.isHandoverComplete(RELEASE_SEEN_MILLIS + 3_299)).isFalse();
-      assertThat(released.isHandoverComplete(RELEASE_SEEN_MILLIS + 3_300)).isTrue();
+    void should_state_in_the_row_when_the_handover_is_complete() {
+      assertThat(released.handoverMillis(WRITTEN_MILLIS)).isEqualTo(HANDOVER_MILLIS);
+      assertThat(released.handoverMillis(RELEASE_SEEN_MILLIS + 3_300)).isZero();
     }
 
     private OrderLeaseRow interrupted(String process) {
-      return new OrderLeaseRow(4, process, SELF.node(), SELF.peerAddress(), false, false);
+      return new OrderLeaseRow(
+          4, process, SELF.node(), SELF.peerAddress(), false, HANDOVER_MILLIS, false);
     }
   }
 
   private static OrderLeaseRow row(long version, String holder, boolean released) {
-    return new OrderLeaseRow(version, holder, "node-of-" + holder, "127.0.0.1:1", released, true);
+    return new OrderLeaseRow(
+        version, holder, "node-of-" + holder, "127.0.0.1:1", released, 0, false);
   }
 }
--- a/node/src/main/java/io/nutmegseam/node/gateway/LeaseControl.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/LeaseControl.java
@@ -8,6 +8,7 @@
 import io.nutmegseam.core.orders.OrderLease;
 import io.nutmegseam.core.orders.OrderLeaseRow;
 import io.nutmegseam.core.platform.Row;
+import io.nutmegseam.core.platform.StorePosition;
 import io.nutmegseam.node.control.ControlThread;
 import io.nutmegseam.node.rows.RowStore;
 import io.nutmegseam.node.rows.TableUpdate;
@@ -35,6 +36,9 @@
    */
   private static final long RESTART_DELAY_MILLIS = 2_000;
 
+  /** The highest era of a store that has not yet returned from an older copy. */
+  private static final long FIRST_ERA = 1;
+
   /** Delay before a failed call is retried. */
   private static final long RETRY_DELAY_MILLIS = 300;
 
@@ -55,6 +59,7 @@
   private long acquirableSinceMillis = Long.MAX_VALUE;
   private long notBeforeMillis = Long.MIN_VALUE / 2;
   private long wallOffsetMillis;
+  private long tableVersion;
 
   /**
    * Creates a control that has not read the lease row.
@@ -139,11 +144,13 @@
 
   /** Observes the lease row, or its removal, in an update of the project's own table. */
   void onRows(TableUpdate<Row> update) {
+    tableVersion = update.version();
     Optional<Row> row = update.items().stream().filter(r -> r.key().equals(KEY)).findFirst();
     if (row.isPresent()) {
       observe(decode(row.get()));
     } else if (update.full() || update.removedKeys().contains(KEY)) {
-      observe(OrderLeaseRow.ABSENT);
+      boolean lost = StorePosition.era(tableVersion) > FIRST_ERA;
+      observe(lost ? OrderLeaseRow.LOST : OrderLeaseRow.ABSENT);
     }
   }
 
@@ -220,17 +227,17 @@
       notBeforeMillis = monotonicClock.millis() + RETRY_DELAY_MILLIS;
       return;
     }
-    observe(row.map(LeaseControl::decode).orElse(OrderLeaseRow.ABSENT));
+    // The next update of the table shows in which era a missing row is missing.
+    row.map(LeaseControl::decode).ifPresent(this::observe);
   }
 
   private void write(OrderLease.Step step, boolean release) {
     callInFlight = true;
     long sentMillis = monotonicClock.millis();
     long expected = lease.expectedVersion();
-    boolean handoverComplete = lease.isHandoverComplete(sentMillis);
-    OrderLeaseRow next = ownRow(0, release, handoverComplete);
+    OrderLeaseRow next = ownRow(0, release, lease.handoverMillis(sentMillis));
     writer
-        .write(KEY, expected, encode(next))
+        .write(KEY, expected, encode(next, StorePosition.era(Math.max(expected, tableVersion))))
         .whenComplete(
             (version, e) -> thread.execute(() -> onWritten(step, next, sentMillis, version, e)));
   }
@@ -250,7 +257,7 @@
       read();
       return;
     }
-    OrderLeaseRow row = ownRow(version.get(), false, written.handoverComplete());
+    OrderLeaseRow row = ownRow(version.get(), false, written.handoverMillis());
     if (step == OrderLease.Step.RENEW && lease.tenure().isEmpty()) {
       lease = lease.observe(row, monotonicClock.millis());
       return;
@@ -261,18 +268,19 @@
     }
   }
 
-  private OrderLeaseRow ownRow(long version, boolean released, boolean handoverComplete) {
+  private OrderLeaseRow ownRow(long version, boolean released, long handoverMillis) {
     return new OrderLeaseRow(
-        version, self.process(), self.node(), self.peerAddress(), released, handoverComplete);
+        version, self.process(), self.node(), self.peerAddress(), released, handoverMillis, false);
   }
 
-  private static String encode(OrderLeaseRow row) {
+  private static String encode(OrderLeaseRow row, long era) {
     return JSON.createObjectNode()
         .put("holder", row.holder())
         .put("node", row.node())
         .put("peerAddress", row.peerAddress())
         .put("released", row.released())
-        .put("handoverComplete", row.handoverComplete())
+        .put("handoverMillis", row.handoverMillis())
+        .put("era", era)
         .toString();
   }
 
@@ -285,11 +293,12 @@
           json.path("node").asText(),
           json.path("peerAddress").asText(),
           json.path("released").asBoolean(),
-          json.path("handoverComplete").asBoolean());
+          json.path("handoverMillis").asLong(),
+          json.path("era").asLong() < StorePosition.era(row.version()));
     } catch (JsonProcessingException e) {
       // Nobody can renew an unreadable row, so it counts as held by an unknown process until it
       // lapses.
-      return new OrderLeaseRow(row.version(), "unreadable", "", "", false, true);
+      return new OrderLeaseRow(row.version(), "unreadable", "", "", false, 0, false);
     }
   }
 }
