Write a node's row again after the store has returned without it

What callers would see: a node whose row was lost stayed unknown to nodes that started later, since a full read of the table did not clear the own row; its data centre could be read by more nodes than needed.

Change: a full read without the own row makes it due; rows of all nodes are written over 2.5 s, so that 360 of them stay below the 200 writes per second of one part. Other nodes stay known.

NodeDirectoryTest$RestoredTable holds it; the call is new, so its first case could not fail before.

--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
@@ -238,6 +238,8 @@
         "servers_age_seconds",
         "Age of what is known of the servers",
         () -> store.serversAgeMillis() / 1e3);
+    metrics.registerGauge(
+        "store_era", "Era of the store; rises when it returns from an older copy", store::storeEra);
     metrics.registerCounter("log_dropped", "Log lines dropped", events::droppedCount);
     network.listen(settings.peerAddress());
     server.listen(settings.readyAddress(), path -> readiness());
--- a/node/src/main/java/io/nutmegseam/node/gateway/StoreWatcher.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/StoreWatcher.java
@@ -50,6 +50,12 @@
    */
   private static final long REGISTRATION_RETRY_MILLIS = 2_000;
 
+  /**
+   * Time over which nodes spread the writes of lost rows: 360 nodes stay below the 200 writes per
+   * second that a part of the store handles.
+   */
+  private static final long REGISTRATION_SPREAD_MILLIS = 2_500;
+
   private final RowStore rows;
   private final RowDecoders decoders;
   private final NodeDirectory directory;
@@ -106,13 +112,27 @@
             OWN_TABLE,
             OWN_TABLE_POLL_TIMING,
             update -> {
-              update.items().forEach(directory::onRow);
-              update.removedKeys().forEach(directory::onRowRemoved);
+              applyOwnTable(update);
               ownRows.accept(update);
               return update;
             });
   }
 
+  private void applyOwnTable(TableUpdate<Row> update) {
+    boolean registered = directory.ownRow().isPresent();
+    if (update.full()) {
+      directory.onFullTable(update.items());
+    } else {
+      update.items().forEach(directory::onRow);
+    }
+    update.removedKeys().forEach(directory::onRowRemoved);
+    if (registered && directory.ownRow().isEmpty()) {
+      // The rows of all nodes are lost at the same time if the store returns from an older copy.
+      nextRegistrationMillis =
+          context.clock().millis() + context.random().nextLong(REGISTRATION_SPREAD_MILLIS);
+    }
+  }
+
   private TableWatcher<Row> createRowWatcher(
       String table, TableWatcher.PollTiming timing, TableWatcher.Sink<Row> sink) {
     return new TableWatcher<>(
@@ -217,6 +237,11 @@
     return ownTableWatcher.ageMillis();
   }
 
+  /** Returns the era of the store as last seen; it rises when the store returns from a copy. */
+  long storeEra() {
+    return ownTableWatcher.era();
+  }
+
   private void forEachWatcher(Consumer<TableWatcher<?>> action) {
     action.accept(configWatcher);
     action.accept(serverWatcher);
--- a/node/src/main/java/io/nutmegseam/node/rows/NodeDirectory.java
+++ b/node/src/main/java/io/nutmegseam/node/rows/NodeDirectory.java
@@ -62,6 +62,16 @@
     decode(node, row).ifPresent(record -> recordByNode.put(node, record));
   }
 
+  /**
+   * Applies a read of the full table. If it lacks this node's row, the row is due to be written
+   * again. Other nodes that it lacks stay known: after the store has returned from an older copy,
+   * they write their rows again.
+   */
+  public void onFullTable(List<Row> rows) {
+    ownRow = rows.stream().filter(row -> row.key().equals(ownKey())).findFirst();
+    rows.forEach(this::onRow);
+  }
+
   /** Applies the removal of a row of the project's own table. */
   public void onRowRemoved(String key) {
     if (key.equals(ownKey())) {
--- a/node/src/main/java/io/nutmegseam/node/rows/TableWatcher.java
+++ b/node/src/main/java/io/nutmegseam/node/rows/TableWatcher.java
@@ -171,6 +171,11 @@
     return nowMillis() - lastResponseMillis;
   }
 
+  /** Returns the era of the store in which the table was last read; 0 before the first read. */
+  public long era() {
+    return version == UNKNOWN_VERSION ? 0 : StorePosition.era(version);
+  }
+
   /** Returns whether the last read of this node failed. */
   public boolean isStoreUnavailable() {
     return storeUnavailable;
--- a/node/src/test/java/io/nutmegseam/node/rows/NodeDirectoryTest.java
+++ b/node/src/test/java/io/nutmegseam/node/rows/NodeDirectoryTest.java
@@ -50,6 +50,28 @@
     }
   }
 
+  /** The store returns from an older copy, which lacks rows that were written since. */
+  @Nested
+  class RestoredTable {
+    @Test
+    void should_have_its_own_row_written_again_if_the_table_lacks_it() {
+      // GIVEN
+      directory.onRow(new Row(directory.ownKey(), directory.ownValue(), 3));
+      // WHEN
+      directory.onFullTable(List.of(row("strong", "dc-a", 2)));
+      // THEN
+      assertThat(directory.isOwnRowCurrent()).isFalse();
+      assertThat(directory.ownRow()).isEmpty();
+    }
+
+    @Test
+    void should_keep_other_nodes_that_the_table_lacks() {
+      directory.onRow(row("strong", "dc-a", 2));
+      directory.onFullTable(List.of());
+      assertThat(directory.isFollowed("strong")).isTrue();
+    }
+  }
+
   @Nested
   class Rows {
     @Test
