Evict a replica that others can replace for a model unserved for long

Cause: a model in high demand keeps two replicas, and neither is evicted. A server with two such models never makes room, also for a model of which it has the only copy, although the other replicas would do and a new one takes a second elsewhere.

Change: for a model unserved for more than 5 s a replica counts as spare if the others are not overloaded without it. An only replica stays. UnusableCopies takes its bookkeeping out of SwapPlanner.

--- a/core/src/main/java/io/nutmegseam/core/orders/DeferredLoad.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/DeferredLoad.java
@@ -33,10 +33,15 @@
    * @param snapshot state of the service
    * @param model name of the model
    * @param unservedMillis time since it was first requested without being served, in milliseconds
+   * @param urgent whether that is long
    * @param assignedServers ids of the servers that are assigned to a model
    */
   static DeferredLoad of(
-      ServiceSnapshot snapshot, String model, long unservedMillis, Set<String> assignedServers) {
+      ServiceSnapshot snapshot,
+      String model,
+      long unservedMillis,
+      boolean urgent,
+      Set<String> assignedServers) {
     ModelSpec spec = snapshot.engine().models().get(model);
     List<ServerOrderState> withCopy =
         snapshot.servers().stream()
@@ -44,7 +49,7 @@
             .filter(s -> LoadSource.of(s.entry().inventory(), model) != LoadSource.STORE)
             .toList();
     List<ServerOrderState> able =
-        withCopy.stream().filter(s -> MemoryUse.canHost(snapshot, s, spec)).toList();
+        withCopy.stream().filter(s -> MemoryUse.canHost(snapshot, s, spec, urgent)).toList();
     Reason reason;
     if (withCopy.isEmpty()) {
       reason = Reason.NO_COPY;
--- a/core/src/main/java/io/nutmegseam/core/orders/EvictionChooser.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/EvictionChooser.java
@@ -14,12 +14,13 @@
    * @param snapshot state of the service
    * @param server server that needs memory
    * @param forModel model that needs the memory
+   * @param urgent whether the model has been unserved for long
    */
   static Optional<String> choose(
-      ServiceSnapshot snapshot, ServerOrderState server, String forModel) {
+      ServiceSnapshot snapshot, ServerOrderState server, String forModel, boolean urgent) {
     return server.entry().inventory().adaptersByModel().keySet().stream()
         .filter(model -> !model.equals(forModel) && !server.isUnloading(model))
-        .filter(model -> isEvictable(snapshot, model))
+        .filter(model -> isEvictable(snapshot, model, urgent))
         .min(
             Comparator.<String>comparingDouble(
                     model -> evictionCostMillisPerSecond(snapshot, server, model))
@@ -28,12 +29,12 @@
 
   /** Returns the memory of all models that a server can evict for a model, in megabytes. */
   static double evictableMegabytes(
-      ServiceSnapshot snapshot, ServerOrderState server, String forModel) {
+      ServiceSnapshot snapshot, ServerOrderState server, String forModel, boolean urgent) {
     double total = 0;
     for (var loaded : server.entry().inventory().adaptersByModel().entrySet()) {
       boolean isCandidate =
           !loaded.getKey().equals(forModel) && !server.isUnloading(loaded.getKey());
-      if (isCandidate && isEvictable(snapshot, loaded.getKey())) {
+      if (isCandidate && isEvictable(snapshot, loaded.getKey(), urgent)) {
         total +=
             MemoryUse.loadedMegabytes(snapshot.engine(), loaded.getKey(), loaded.getValue().size());
       }
@@ -43,13 +44,19 @@
 
   /**
    * Returns whether a model may be evicted: no request waits for it, and it has a spare replica or
-   * fewer than 1 request/s.
+   * fewer than 1 request/s. For an urgent model, a replica is spare if the others are enough for
+   * the present demand: a server may have the only copy of the urgent model and serve models in
+   * high demand for as long as that lasts, while those can have their replica on another server.
    */
-  private static boolean isEvictable(ServiceSnapshot snapshot, String model) {
+  private static boolean isEvictable(ServiceSnapshot snapshot, String model, boolean urgent) {
     ModelDemand demand = snapshot.totalDemand(model);
+    int replicas = snapshot.servingReplicas(model);
+    int slots = snapshot.engine().slots();
     boolean hasSpareReplica =
-        snapshot.servingReplicas(model)
-            > ReplicaTarget.minimumKept(demand.ratePerSecond(), snapshot.engine().slots());
+        replicas > ReplicaTarget.minimumKept(demand.ratePerSecond(), slots)
+            || (urgent
+                && replicas > 1
+                && !ReplicaTarget.isOverloaded(demand.ratePerSecond(), replicas - 1, slots));
     return demand.waiting() == 0 && (hasSpareReplica || demand.ratePerSecond() < 1);
   }
 
--- a/core/src/main/java/io/nutmegseam/core/orders/MemoryUse.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/MemoryUse.java
@@ -27,10 +27,18 @@
     return engine.modelMemoryMegabytes() - used;
   }
 
-  /** Returns whether a server has memory for a model, or can evict enough other models. */
-  static boolean canHost(ServiceSnapshot snapshot, ServerOrderState server, ModelSpec spec) {
+  /**
+   * Returns whether a server has memory for a model, or can evict enough other models.
+   *
+   * @param snapshot state of the service
+   * @param server the server
+   * @param spec the model
+   * @param urgent whether the model has been unserved for long
+   */
+  static boolean canHost(
+      ServiceSnapshot snapshot, ServerOrderState server, ModelSpec spec, boolean urgent) {
     double free = freeMegabytes(snapshot.engine(), server);
-    double evictable = EvictionChooser.evictableMegabytes(snapshot, server, spec.name());
+    double evictable = EvictionChooser.evictableMegabytes(snapshot, server, spec.name(), urgent);
     return free + evictable >= spec.weightsMegabytes();
   }
 
--- a/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Decides which models the servers of one service load and unload. A swap takes several orders, so
@@ -23,11 +24,17 @@
   /** Each time a model has been unserved for this long, its value grows by its initial value. */
   private static final double AGEING_MILLIS = 5_000;
 
+  /**
+   * A model that has been unserved for longer is urgent: interactive callers have left without a
+   * response.
+   */
+  private static final long URGENT_MILLIS = 5_000;
+
   /** The swaps in progress: the id of the server that is reserved for each model. */
   private final Map<String, String> serverIdByModel = new HashMap<>();
 
   private final UnservedModels unservedModels = new UnservedModels();
-  private final Map<String, Long> copiesUnusableSinceMillis = new HashMap<>();
+  private final UnusableCopies unusableCopies = new UnusableCopies();
 
   /** Whether the last load from the weight store was for a model that was served already. */
   private boolean firstCopyIsNext;
@@ -70,7 +77,7 @@
   public void reset() {
     serverIdByModel.clear();
     unservedModels.clear();
-    copiesUnusableSinceMillis.clear();
+    unusableCopies.clear();
     firstCopyIsNext = false;
   }
 
@@ -93,9 +100,7 @@
     }
 
     private Set<String> orderedServers() {
-      Set<String> ids = new HashSet<>();
-      orders.forEach(order -> ids.add(order.server().id()));
-      return ids;
+      return orders.stream().map(order -> order.server().id()).collect(Collectors.toSet());
     }
 
     /**
@@ -245,18 +250,13 @@
           .toList();
     }
 
-    /**
-     * Updates since when no server with a copy can make room for each model to which no server is
-     * assigned: they serve other models in demand, or do not carry out their orders.
-     */
     private void updateUnusableCopies() {
-      Set<String> unusable = new HashSet<>();
-      unservedModels.names().stream()
-          .filter(m -> snapshot.replicas(m) == 0 && !serverIdByModel.containsKey(m))
-          .filter(m -> !hasUsableCopy(m))
-          .forEach(unusable::add);
-      copiesUnusableSinceMillis.keySet().retainAll(unusable);
-      unusable.forEach(m -> copiesUnusableSinceMillis.putIfAbsent(m, snapshot.nowMillis()));
+      List<String> unusable =
+          unservedModels.names().stream()
+              .filter(m -> snapshot.replicas(m) == 0 && !serverIdByModel.containsKey(m))
+              .filter(m -> !hasUsableCopy(m))
+              .toList();
+      unusableCopies.update(unusable, snapshot.nowMillis());
     }
 
     private boolean hasUsableCopy(String model) {
@@ -264,14 +264,13 @@
       return snapshot.servers().stream()
           .filter(s -> sourceOn(s, model) != LoadSource.STORE)
           .filter(s -> !s.entry().draining() && !isStalled(s))
-          .anyMatch(s -> MemoryUse.canHost(snapshot, s, spec));
+          .anyMatch(s -> MemoryUse.canHost(snapshot, s, spec, isUrgent(spec.name())));
     }
 
     /** Returns whether copies have been unusable for longer than a load from the store takes. */
     private boolean areCopiesUnusable(String model) {
-      Long sinceMillis = copiesUnusableSinceMillis.get(model);
-      long storeLoadMillis = snapshot.engine().models().get(model).storeLoadMillis();
-      return sinceMillis != null && snapshot.nowMillis() - sinceMillis > storeLoadMillis;
+      return unusableCopies.unusableMillis(model)
+          > snapshot.engine().models().get(model).storeLoadMillis();
     }
 
     /**
@@ -302,7 +301,10 @@
           snapshot.servers().stream()
               .filter(s -> !s.entry().draining() && !isStalled(s))
               .filter(s -> !reservedServers.contains(s.id()))
-              .filter(s -> !s.serves(model) && MemoryUse.canHost(snapshot, s, spec))
+              .filter(
+                  s ->
+                      !s.serves(model)
+                          && MemoryUse.canHost(snapshot, s, spec, isUrgent(spec.name())))
               .filter(
                   s ->
                       sourceOn(s, model) != LoadSource.STORE
@@ -332,6 +334,10 @@
           .sum();
     }
 
+    private boolean isUrgent(String model) {
+      return unservedModels.unservedMillis(model) > URGENT_MILLIS;
+    }
+
     private boolean isStalled(ServerOrderState server) {
       return server.isStalled(snapshot.engine(), snapshot.nowMillis());
     }
@@ -364,7 +370,7 @@
         serverIdByModel.remove(model);
         return;
       }
-      Optional<String> candidate = EvictionChooser.choose(snapshot, server, model);
+      Optional<String> candidate = EvictionChooser.choose(snapshot, server, model, isUrgent(model));
       if (candidate.isEmpty()) {
         serverIdByModel.remove(model);
         return;
@@ -383,7 +389,11 @@
           .map(
               model ->
                   DeferredLoad.of(
-                      snapshot, model, unservedModels.unservedMillis(model), reservedServers))
+                      snapshot,
+                      model,
+                      unservedModels.unservedMillis(model),
+                      isUrgent(model),
+                      reservedServers))
           .toList();
     }
   }
