--- a/node/src/main/java/io/nutmegseam/node/gateway/DeferredLoadLog.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/DeferredLoadLog.java
@@ -7,14 +7,15 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.stream.Collectors;
 
 /**
  * Logs why no server is assigned to requested models of one service: one line when the reason
- * changes, and one at a fixed interval while it lasts. Confined to the control thread.
+ * changes, and one at a fixed interval while it lasts. A model gets at most one line per second.
+ * Confined to the control thread.
  */
 final class DeferredLoadLog {
   private static final long REPEAT_INTERVAL_MILLIS = 5_000;
+  private static final long MIN_INTERVAL_MILLIS = 1_000;
 
   private final InstantSource clock;
   private final EventSink events;
@@ -42,14 +43,14 @@
   void onRound(List<DeferredLoad> deferredLoads, int storeLoadsLeft) {
     long nowMillis = clock.millis();
     loggedByModel
-        .keySet()
-        .retainAll(deferredLoads.stream().map(DeferredLoad::model).collect(Collectors.toSet()));
+        .values()
+        .removeIf(logged -> nowMillis - logged.atMillis() >= REPEAT_INTERVAL_MILLIS);
     for (DeferredLoad load : deferredLoads) {
       Logged logged = loggedByModel.get(load.model());
       boolean due =
           logged == null
-              || logged.reason() != load.reason()
-              || nowMillis - logged.atMillis() >= REPEAT_INTERVAL_MILLIS;
+              || (logged.reason() != load.reason()
+                  && nowMillis - logged.atMillis() >= MIN_INTERVAL_MILLIS);
       if (due) {
         loggedByModel.put(load.model(), new Logged(load.reason(), nowMillis));
         events.record(EventKind.LOAD_DEFERRED, load.model(), detail(load, storeLoadsLeft));
--- a/node/src/test/java/io/nutmegseam/node/gateway/DeferredLoadLogTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/DeferredLoadLogTest.java
@@ -40,9 +40,22 @@
       assertThat(lines).hasSize(2);
     }
 
+    @Test
+    void should_write_at_most_one_line_per_second_for_a_model() {
+      // WHEN the reason changes in each round, and rounds without a deferral come between
+      for (int round = 0; round < 60; round++) {
+        log.onRound(List.of(round % 2 == 0 ? NO_COPY : ASSIGNED), 0);
+        log.onRound(List.of(), 0);
+        clock.advance(50);
+      }
+      // THEN
+      assertThat(lines).hasSizeLessThanOrEqualTo(3);
+    }
+
     @Test
     void should_write_a_line_when_the_reason_changes() {
       log.onRound(List.of(NO_COPY), 0);
+      clock.advance(1_000);
       log.onRound(List.of(ASSIGNED), 1);
       assertThat(lines)
           .containsExactly(
