--- a/node/src/main/java/io/nutmegseam/node/gateway/FleetControl.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/FleetControl.java
@@ -104,6 +104,9 @@
               }
               return due;
             });
+    removedMillisByServer
+        .values()
+        .removeIf(removedMillis -> nowMillis - removedMillis > REMOVED_RETENTION_MILLIS);
     mergedById.keySet().retainAll(entryById.keySet());
     Map<String, ServerEntry> merged = new HashMap<>();
     entryById.forEach((id, entry) -> merged.put(id, withObservedInventory(entry)));
@@ -197,10 +200,6 @@
    * again until its entry lapses; if the server lives, it writes its entry once more.
    */
   private boolean isRemoved(Incarnation server) {
-    long nowMillis = clock.millis();
-    removedMillisByServer
-        .values()
-        .removeIf(removedMillis -> nowMillis - removedMillis > REMOVED_RETENTION_MILLIS);
     return removedMillisByServer.containsKey(server);
   }
 
