Learn nothing about the weight store from a load on a server that hangs

Cause: the number of loads at full speed is learned from their duration, also from a load in flight, and kept for 120 s once lowered.

Change: a load of more than 2.2 times what the present estimate explains is put down to its server (an estimate twice too high explains the double). A load in flight lowers the number to two at most; a load that ends may lower it to one, as before.

Tests: StoreLoadLimiterTest$HangingServer, both cases failed before. The estimates for stores that serve 1 to 4 loads hold.

--- a/core/src/main/java/io/nutmegseam/core/orders/StoreLoadLimiter.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/StoreLoadLimiter.java
@@ -17,6 +17,12 @@
    */
   private static final double SLOW_RATIO = 1.25;
 
+  /**
+   * A load that takes longer than this multiple of what the present estimate explains is slow
+   * because of its server. An estimate that is twice too high explains the double duration.
+   */
+  private static final double SERVER_FAULT_RATIO = 2.2;
+
   /** Limit of parallel loads until the first estimate. */
   private static final int INITIAL_PARALLEL_LOADS = 2;
 
@@ -106,10 +112,16 @@
     long elapsedMillis = Math.max(1, nowMillis - load.startMillis());
     double meanParallelLoads = (totalLoadMillis - load.totalLoadMillisAtStart()) / elapsedMillis;
     long minDurationMillis = Math.max(1, elapsedMillis - REPORT_LAG_MILLIS);
+    double explainedMillis = uncontendedMillis * Math.max(1, meanParallelLoads / parallelLoads);
+    if (minDurationMillis > SERVER_FAULT_RATIO * explainedMillis) {
+      return;
+    }
     if (minDurationMillis > SLOW_RATIO * uncontendedMillis) {
       int fullSpeedLoads =
           (int) Math.round(meanParallelLoads * uncontendedMillis / minDurationMillis);
-      parallelLoads = Math.max(1, Math.min(parallelLoads, fullSpeedLoads));
+      // A load in flight may be slow because of its server; others then end in time.
+      int lowest = done ? 1 : Math.min(parallelLoads, INITIAL_PARALLEL_LOADS);
+      parallelLoads = Math.max(lowest, Math.min(parallelLoads, fullSpeedLoads));
       growthAllowedFromMillis = nowMillis + GROWTH_PAUSE_MILLIS;
     } else if (done
         && meanParallelLoads > parallelLoads - 1
--- a/core/src/test/java/io/nutmegseam/core/orders/StoreLoadLimiterTest.java
+++ b/core/src/test/java/io/nutmegseam/core/orders/StoreLoadLimiterTest.java
@@ -64,6 +64,43 @@
     }
   }
 
+  /**
+   * A server hangs during a load. Its load says nothing about the store, but lowered the estimate
+   * to one load for two minutes.
+   */
+  @Nested
+  class HangingServer {
+    private static final Object HANGING = "hanging";
+
+    @Test
+    void should_keep_the_estimate_while_a_load_does_not_end() {
+      // GIVEN
+      startTwoLoads();
+      // WHEN one of them ends in time and the other one does not end
+      limiter.onDone("fast", UNCONTENDED_MILLIS, UNCONTENDED_MILLIS);
+      limiter.onRunningCount(1, UNCONTENDED_MILLIS);
+      for (long now = UNCONTENDED_MILLIS; now < 60_000; now += STEP_MILLIS) {
+        limiter.onProgress(HANGING, UNCONTENDED_MILLIS, now);
+      }
+      // THEN
+      assertThat(limiter.parallelLoads()).isGreaterThanOrEqualTo(2);
+    }
+
+    @Test
+    void should_keep_the_estimate_when_the_load_ends_much_too_late() {
+      startTwoLoads();
+      limiter.onDone("fast", UNCONTENDED_MILLIS, UNCONTENDED_MILLIS);
+      limiter.onRunningCount(1, UNCONTENDED_MILLIS);
+      limiter.onDone(HANGING, UNCONTENDED_MILLIS, 3 * UNCONTENDED_MILLIS);
+      assertThat(limiter.parallelLoads()).isGreaterThanOrEqualTo(2);
+    }
+
+    private void startTwoLoads() {
+      limiter.onStarted(HANGING, 0);
+      limiter.onStarted("fast", 0);
+    }
+  }
+
   /** Simulates a store and returns the highest number of parallel loads. */
   private int simulate(int fullSpeedLoads, long millis) {
     List<double[]> running = new ArrayList<>();
