--- a/core/src/main/java/io/nutmegseam/core/event/EventKind.java
+++ b/core/src/main/java/io/nutmegseam/core/event/EventKind.java
@@ -68,7 +68,7 @@
   UNLOAD_DONE(325),
   /** The node began to request a load of a model or adapter for waiting requests. */
   DEMAND_RAISED(330),
-  /** No server is assigned to a requested model that no server serves. */
+  /** No server is reserved for a requested model that no server serves. */
   LOAD_DEFERRED(331),
   /** A caller's request is valid and proceeds to admission control. */
   REQUEST_ACCEPTED(400),
--- a/core/src/main/java/io/nutmegseam/core/orders/DeferredLoad.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/DeferredLoad.java
@@ -5,43 +5,43 @@
 import java.util.Set;
 
 /**
- * A requested model that no server serves and to which none is assigned.
+ * A requested model that no server serves and for which none is reserved.
  *
  * @param model name of the model
- * @param reason why no server is assigned
+ * @param reason why no server is reserved
  * @param unservedMillis time since it was first requested without being served, in milliseconds
  * @param waiting number of requests that wait for it
  * @param copies number of servers that have a copy of its weights and are not draining
  */
 public record DeferredLoad(
     String model, Reason reason, long unservedMillis, int waiting, int copies) {
-  /** Why no server is assigned to a model. */
+  /** Why no server is reserved for a model. */
   public enum Reason {
     /** No server has a copy, and the weight store serves no further load. */
     NO_COPY,
     /** The servers with a copy serve other models that may not be evicted. */
     COPIES_NOT_EVICTABLE,
-    /** The servers with a copy are assigned to other models. */
-    COPIES_ASSIGNED,
+    /** The servers with a copy are reserved for other models. */
+    COPIES_RESERVED,
     /** A server with a copy is free, but no request waits: all were refused or cancelled. */
     NO_REQUEST_WAITS
   }
 
   /**
-   * Determines why no server is assigned to a model.
+   * Determines why no server is reserved for a model.
    *
    * @param snapshot state of the service
    * @param model name of the model
    * @param unservedMillis time since it was first requested without being served, in milliseconds
    * @param urgent whether that is long
-   * @param assignedServers ids of the servers that are assigned to a model
+   * @param reservedServers ids of the servers that are reserved for a model
    */
   static DeferredLoad of(
       ServiceSnapshot snapshot,
       String model,
       long unservedMillis,
       boolean urgent,
-      Set<String> assignedServers) {
+      Set<String> reservedServers) {
     ModelSpec spec = snapshot.engine().models().get(model);
     List<ServerOrderState> withCopy =
         snapshot.servers().stream()
@@ -55,8 +55,8 @@
       reason = Reason.NO_COPY;
     } else if (able.isEmpty()) {
       reason = Reason.COPIES_NOT_EVICTABLE;
-    } else if (able.stream().allMatch(s -> assignedServers.contains(s.id()))) {
-      reason = Reason.COPIES_ASSIGNED;
+    } else if (able.stream().allMatch(s -> reservedServers.contains(s.id()))) {
+      reason = Reason.COPIES_RESERVED;
     } else {
       reason = Reason.NO_REQUEST_WAITS;
     }
--- a/core/src/main/java/io/nutmegseam/core/orders/LoadTimes.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/LoadTimes.java
@@ -47,7 +47,7 @@
    * Returns when each model with waiting requests, and each of its adapters, is expected to be
    * loaded.
    *
-   * @param serverIdByModel the servers that are assigned to models
+   * @param serverIdByModel the servers that are reserved for models
    * @param storeQueue models that need a load from the weight store, in the order of these loads
    */
   Map<ModelRef, Long> readyMillisByModel(
@@ -58,7 +58,7 @@
         .forEach(
             spec ->
                 loadedMillis(spec)
-                    .or(() -> assignedMillis(spec, serverIdByModel))
+                    .or(() -> reservedMillis(spec, serverIdByModel))
                     .or(() -> fromCopyMillis(spec))
                     .ifPresent(millis -> readyMillis.put(new ModelRef(spec.name(), ""), millis)));
     long slotFreeMillis = nextStoreSlotMillis();
@@ -85,7 +85,7 @@
         .min(Comparator.naturalOrder());
   }
 
-  private Optional<Long> assignedMillis(ModelSpec spec, Map<String, String> serverIdByModel) {
+  private Optional<Long> reservedMillis(ModelSpec spec, Map<String, String> serverIdByModel) {
     return Optional.ofNullable(serverIdByModel.get(spec.name()))
         .flatMap(snapshot::server)
         .map(server -> readyMillis(server, spec));
--- a/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
@@ -45,7 +45,7 @@
    * @param orders orders to send now, at most one per server
    * @param readyAtMillisByModel monotonic time at which each model with waiting requests is
    *     expected to be loaded, in milliseconds
-   * @param deferredLoads requested models that no server serves and none is assigned to
+   * @param deferredLoads requested models that no server serves and none is reserved for
    */
   public record RoundPlan(
       List<ModelOrder> orders,
--- a/core/src/test/java/io/nutmegseam/core/orders/DeferredLoadTest.java
+++ b/core/src/test/java/io/nutmegseam/core/orders/DeferredLoadTest.java
@@ -38,7 +38,7 @@
     }
 
     @Test
-    void should_report_a_model_whose_copies_are_on_servers_that_are_assigned_to_others() {
+    void should_report_a_model_whose_copies_are_on_servers_that_are_reserved_for_others() {
       ServiceSnapshot snapshot =
           snapshot(
               List.of(server("s1", Set.of(), Set.of("idle", "rare"))),
@@ -46,7 +46,7 @@
               0);
       assertThat(planner.plan(snapshot).deferredLoads())
           .extracting(DeferredLoad::model, DeferredLoad::reason)
-          .containsExactly(tuple("rare", DeferredLoad.Reason.COPIES_ASSIGNED));
+          .containsExactly(tuple("rare", DeferredLoad.Reason.COPIES_RESERVED));
     }
 
     @Test
--- a/core/src/test/java/io/nutmegseam/core/orders/StoreLoadLimiterTest.java
+++ b/core/src/test/java/io/nutmegseam/core/orders/StoreLoadLimiterTest.java
@@ -65,8 +65,8 @@
   }
 
   /**
-   * A server hangs during a load. Its load says nothing about the store, but lowered the estimate
-   * to one load for two minutes.
+   * Guards against a low estimate after a server has hung during a load, which says nothing about
+   * the store.
    */
   @Nested
   class HangingServer {
--- a/node/src/main/java/io/nutmegseam/node/gateway/DeferredLoadLog.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/DeferredLoadLog.java
@@ -9,7 +9,7 @@
 import java.util.Map;
 
 /**
- * Logs why no server is assigned to requested models of one service: one line when the reason
+ * Logs why no server is reserved for requested models of one service: one line when the reason
  * changes, and one at a fixed interval while it lasts. A model gets at most one line per second.
  * Confined to the control thread.
  */
--- a/node/src/test/java/io/nutmegseam/node/gateway/DeferredLoadLogTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/DeferredLoadLogTest.java
@@ -11,8 +11,8 @@
 class DeferredLoadLogTest {
   private static final DeferredLoad NO_COPY =
       new DeferredLoad("rare", DeferredLoad.Reason.NO_COPY, 100, 1, 0);
-  private static final DeferredLoad ASSIGNED =
-      new DeferredLoad("rare", DeferredLoad.Reason.COPIES_ASSIGNED, 200, 1, 2);
+  private static final DeferredLoad RESERVED =
+      new DeferredLoad("rare", DeferredLoad.Reason.COPIES_RESERVED, 200, 1, 2);
 
   private final TestClock clock = new TestClock();
   private final List<String> lines = new ArrayList<>();
@@ -44,7 +44,7 @@
     void should_write_at_most_one_line_per_second_for_a_model() {
       // WHEN the reason changes in each round, and rounds without a deferral come between
       for (int round = 0; round < 60; round++) {
-        log.onRound(List.of(round % 2 == 0 ? NO_COPY : ASSIGNED), 0);
+        log.onRound(List.of(round % 2 == 0 ? NO_COPY : RESERVED), 0);
         log.onRound(List.of(), 0);
         clock.advance(50);
       }
@@ -56,12 +56,12 @@
     void should_write_a_line_when_the_reason_changes() {
       log.onRound(List.of(NO_COPY), 0);
       clock.advance(1_000);
-      log.onRound(List.of(ASSIGNED), 1);
+      log.onRound(List.of(RESERVED), 1);
       assertThat(lines)
           .containsExactly(
               "rare NO_COPY, unserved for 100 ms, 1 requests wait, 0 servers have a copy,"
                   + " 0 store loads allowed",
-              "rare COPIES_ASSIGNED, unserved for 200 ms, 1 requests wait, 2 servers have a copy,"
+              "rare COPIES_RESERVED, unserved for 200 ms, 1 requests wait, 2 servers have a copy,"
                   + " 1 store loads allowed");
     }
   }
