Log how the end of a response is marked and how much of it arrived

REQUEST_ANSWERED said neither how a response was delimited nor whether the request had been written nor whether the last event was whole, so that its lines were the same for a complete response and for one that was broken off. It now gives the received bytes, the bytes of a partial event, and what ended the response: length, chunks or the connection. nutmegseam_gateway_responses_total counts the same.

--- a/node/src/main/java/io/nutmegseam/node/gateway/Attempt.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/Attempt.java
@@ -52,7 +52,7 @@
     void onContent(ByteBuf content);
 
     /** Handles the end of a complete response. */
-    void onComplete();
+    void onComplete(ResponseEnd end);
 
     /**
      * Handles a request that did not run.
@@ -179,14 +179,14 @@
   }
 
   @Override
-  public void onComplete() {
+  public void onComplete(ResponseEnd end) {
     if (state == State.ENDED) {
       return;
     }
     markEnded();
     if (withheldHead == null) {
       context.loads().onSucceeded(serverId());
-      owner.onComplete();
+      owner.onComplete(end);
     } else if (provesNotRun(withheldHead)) {
       boolean misdirected = withheldHead.status().code() == STATUS_MISDIRECTED;
       owner.onNotRun(
--- a/node/src/main/java/io/nutmegseam/node/gateway/BufferedHttpClient.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/BufferedHttpClient.java
@@ -158,7 +158,7 @@
     }
 
     @Override
-    public void onComplete() {
+    public void onComplete(ResponseEnd end) {
       timer.cancel(false);
       result.complete(new Response(head.status().code(), head.headers(), body.toByteString()));
     }
--- a/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
@@ -340,8 +340,9 @@
   }
 
   @Override
-  public void onComplete() {
-    log.onCompleted(attempt.server(), dispatches);
+  public void onComplete(ResponseEnd end) {
+    log.onCompleted(attempt.server(), dispatches, relay.receivedText() + " " + end);
+    context.metrics().onResponseEnded(end.framing());
     relay.end();
     finish("answered");
   }
@@ -380,7 +381,7 @@
       abortResponse(reason);
     } else {
       relay.onBufferedResponse(head, body, plan.route());
-      log.onCompleted(server, dispatches);
+      log.onCompleted(server, dispatches, relay.receivedText());
       finish("answered");
     }
   }
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayMetrics.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayMetrics.java
@@ -20,6 +20,8 @@
   private final PrometheusRegistry registry = new PrometheusRegistry();
   private final Counter finished = counter("requests", "Requests by route and outcome", "outcome");
   private final Counter retried = counter("retries", "Requests sent once more", "cause");
+  private final Counter responses =
+      counter("responses", "Forwarded responses by how their end is marked", "framing");
   private final Counter calls = counter("calls", "Calls to the platform and orders", "call");
   private final Histogram firstByte = histogram("first_byte", "Time to the head of an answer");
   private final Histogram modelWait =
@@ -31,6 +33,11 @@
     finished.labelValues(outcome).inc();
   }
 
+  /** Counts a response that was forwarded to its end. */
+  void onResponseEnded(BodyFraming framing) {
+    responses.labelValues(framing.label()).inc();
+  }
+
   /** Counts a retry of a request. */
   void onRetried(String cause) {
     retried.labelValues(cause).inc();
--- a/node/src/main/java/io/nutmegseam/node/gateway/RequestLog.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/RequestLog.java
@@ -33,10 +33,10 @@
   }
 
   /** Logs a complete response. */
-  void onCompleted(ServerEntry server, int dispatches) {
+  void onCompleted(ServerEntry server, int dispatches, String received) {
     record(
         EventKind.REQUEST_ANSWERED,
-        "server %s, dispatches %d".formatted(server.incarnation(), dispatches));
+        "server %s, dispatches %d, %s".formatted(server.incarnation(), dispatches, received));
   }
 
   /** Logs and counts a retry of the request. */
--- a/node/src/main/java/io/nutmegseam/node/gateway/ResponseListener.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/ResponseListener.java
@@ -12,7 +12,7 @@
   void onContent(ByteBuf content);
 
   /** Handles the end of a complete response. */
-  void onComplete();
+  void onComplete(ResponseEnd end);
 
   /**
    * Handles a request that ended without a complete response.
--- a/node/src/main/java/io/nutmegseam/node/gateway/ResponseRelay.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/ResponseRelay.java
@@ -19,6 +19,7 @@
   private final ResponseWriter writer;
   private SseEventAssembler assembler;
   private boolean started;
+  private long bodyBytes;
 
   /**
    * Creates a relay.
@@ -50,6 +51,7 @@
 
   /** Forwards a part of the body. */
   void onContent(ByteBuf content) {
+    bodyBytes += content.readableBytes();
     if (assembler == null) {
       writer.writeContent(content);
     } else {
@@ -57,6 +59,14 @@
     }
   }
 
+  /** Returns how much of the body has been received, for log lines. */
+  String receivedText() {
+    int partialBytes = assembler == null ? 0 : assembler.partialEventBytes();
+    return partialBytes == 0
+        ? "%d bytes".formatted(bodyBytes)
+        : "%d bytes with a partial event of %d bytes".formatted(bodyBytes, partialBytes);
+  }
+
   /** Ends a complete response. */
   void end() {
     if (assembler != null) {
--- a/node/src/main/java/io/nutmegseam/node/gateway/ServerConnection.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/ServerConnection.java
@@ -36,6 +36,7 @@
   private ChannelFuture writeFuture;
   private boolean headReceived;
   private boolean skippingResponse;
+  private BodyFraming framing;
   private boolean keepAlive;
   private long idleLimitMillis = Long.MAX_VALUE;
 
@@ -161,8 +162,8 @@
     if (skippingResponse) {
       return;
     }
-    keepAlive =
-        HttpUtil.isKeepAlive(head) && (HttpUtil.isContentLengthSet(head) || isChunked(head));
+    framing = BodyFraming.of(head);
+    keepAlive = HttpUtil.isKeepAlive(head) && framing != BodyFraming.CONNECTION;
     idleLimitMillis = idleLimitMillis(head.headers().get("Keep-Alive", ""));
     listener.onHead(head);
   }
@@ -194,7 +195,7 @@
     } else {
       channel.close();
     }
-    completed.onComplete();
+    completed.onComplete(new ResponseEnd(framing, writeFuture.isSuccess()));
   }
 
   private void fail(String reason) {
@@ -205,10 +206,6 @@
     }
   }
 
-  private static boolean isChunked(HttpResponse head) {
-    return HttpUtil.isTransferEncodingChunked(head);
-  }
-
   private static long idleLimitMillis(String keepAliveHeader) {
     int index = keepAliveHeader.indexOf(KEEP_ALIVE_TIMEOUT);
     if (index < 0) {
--- a/node/src/main/java/io/nutmegseam/node/gateway/SseEventAssembler.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/SseEventAssembler.java
@@ -39,6 +39,11 @@
     return lastEventId;
   }
 
+  /** Returns the size of the part that has been received of the next event, in bytes. */
+  int partialEventBytes() {
+    return buffered.readableBytes();
+  }
+
   /** Accepts a part of the stream, and forwards the events that it completes. */
   void accept(ByteBuf part) {
     buffered.addComponent(true, part.retainedSlice());
