Move the gateway of the wire tests to a class of its own

Further wire tests need it. No check changes; a stub server may respond by the head of the request, and the limit of request bodies is higher.

--- a/node/src/test/java/io/nutmegseam/node/gateway/GatewayWireTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/GatewayWireTest.java
@@ -3,35 +3,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.awaitility.Awaitility.await;
 
-import io.netty.channel.EventLoop;
-import io.netty.channel.nio.NioEventLoopGroup;
-import io.nutmegseam.core.fleet.Fleet;
-import io.nutmegseam.core.fleet.ServerEntry;
 import io.nutmegseam.core.gateway.EngineSpec;
-import io.nutmegseam.core.gateway.GatewayConfig;
-import io.nutmegseam.core.gateway.GatewayLimits;
 import io.nutmegseam.core.gateway.ModelSpec;
 import io.nutmegseam.core.gateway.RequestKind;
-import io.nutmegseam.core.gateway.Route;
-import io.nutmegseam.core.gateway.ServiceShare;
-import io.nutmegseam.core.gateway.ServiceSpec;
-import io.nutmegseam.node.control.MonotonicClock;
 import io.nutmegseam.node.gateway.StubServer.ConnectionAction;
-import io.nutmegseam.node.settings.HostPort;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
-import java.net.SocketTimeoutException;
-import java.nio.charset.StandardCharsets;
-import java.time.Clock;
-import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Random;
-import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -44,57 +23,19 @@
 
 /** Checks on the wire what the gateway sends to callers and to servers if servers are faulty. */
 class GatewayWireTest {
-  static final String ID_HEADER = "id";
   private static final String OK = "HTTP/1.1 200 OK\r\nid: {id}\r\nreceipt: r\r\n";
   private static final String COMPLETE = OK + "Content-Length: 5\r\n\r\nhello";
-  private static final GatewayHeaders HEADERS =
-      new GatewayHeaders(
-          ID_HEADER,
-          "left",
-          "model",
-          "tokens",
-          "prompt",
-          "last",
-          "expect",
-          "not-run",
-          "receipt",
-          "load",
-          "priority",
-          Set.of("expect", "reserved"));
 
-  private final Clock clock = new MonotonicClock();
-  private final NioEventLoopGroup group = new NioEventLoopGroup(1);
-  private final GatewayState state = new GatewayState();
-  private final ModelWaitQueue waitQueue = new ModelWaitQueue(() -> {});
-  private int port;
+  private TestGateway gateway;
 
   @BeforeEach
   void startGateway() throws IOException {
-    EventLoop loop = group.next();
-    ServerLoads loads = new ServerLoads(clock);
-    TrafficContext context =
-        new TrafficContext(
-            loop,
-            clock,
-            HEADERS,
-            state,
-            new ServerConnectionPools(loop, ID_HEADER, clock),
-            new ServerChooser("dc", loads, new Random(1), clock),
-            loads,
-            new RetryLimiter(0.2, 50, 10_000, 1, clock),
-            waitQueue,
-            new ArrivalCounts(),
-            (kind, subject, detail) -> {},
-            new GatewayMetrics());
-    try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      port = probe.getLocalPort();
-    }
-    new GatewayServer(group, context).listen(new HostPort("127.0.0.1", port));
+    gateway = new TestGateway();
   }
 
   @AfterEach
   void stopGateway() {
-    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    gateway.close();
   }
 
   @Nested
@@ -107,11 +48,12 @@
     })
     void should_forward_a_complete_response(
         String name, ConnectionAction afterResponse, String headersAndBody) throws Exception {
-      try (StubServer server = new StubServer("a", OK + lines(headersAndBody), afterResponse)) {
+      try (StubServer server =
+          new StubServer("a", OK + TestGateway.lines(headersAndBody), afterResponse)) {
         configure(RequestKind.NON_IDEMPOTENT, server);
         String received = call("POST", "1");
         assertThat(received).as(name).startsWith("HTTP/1.1 200").contains("receipt: r", "hello");
-        assertThat(isComplete(received)).as(received).isTrue();
+        assertThat(TestGateway.isComplete(received)).as(received).isTrue();
       }
     }
 
@@ -123,10 +65,11 @@
     })
     void should_not_make_a_truncated_response_look_complete(
         String name, ConnectionAction afterResponse, String headersAndBody) throws Exception {
-      try (StubServer server = new StubServer("a", OK + lines(headersAndBody), afterResponse)) {
+      try (StubServer server =
+          new StubServer("a", OK + TestGateway.lines(headersAndBody), afterResponse)) {
         configure(RequestKind.NON_IDEMPOTENT, server);
         String received = call("POST", "1");
-        assertThat(isComplete(received) && received.startsWith("HTTP/1.1 200"))
+        assertThat(TestGateway.isComplete(received) && received.startsWith("HTTP/1.1 200"))
             .as(name + received)
             .isFalse();
       }
@@ -232,8 +175,8 @@
       try (StubServer server = new StubServer("a", COMPLETE, ConnectionAction.KEEP)) {
         // GIVEN
         configure(RequestKind.NON_IDEMPOTENT, server);
-        state.setStopping();
-        state.setClosed();
+        gateway.state().setStopping();
+        gateway.state().setClosed();
         // WHEN
         String received = call("POST", "1");
         // THEN
@@ -253,16 +196,17 @@
               () -> {
                 try {
                   return exchange(
-                      lines("POST /p/x HTTP/1.1|Host: h|id: 1|model: m|Connection: close||"));
+                      TestGateway.lines(
+                          "POST /p/x HTTP/1.1|Host: h|id: 1|model: m|Connection: close||"));
                 } catch (IOException e) {
                   throw new UncheckedIOException(e);
                 }
               });
-      await().until(() -> onLoop(() -> waitQueue.waitersByModel().size()) == 1);
+      await().until(() -> onLoop(() -> gateway.waitQueue().waitersByModel().size()) == 1);
       // WHEN
       onLoop(
           () -> {
-            waitQueue.refuseAll();
+            gateway.waitQueue().refuseAll();
             return 0;
           });
       // THEN
@@ -272,7 +216,7 @@
     }
 
     private int onLoop(Callable<Integer> task) throws Exception {
-      return group.next().submit(task).get(5, TimeUnit.SECONDS);
+      return gateway.loop().submit(task).get(5, TimeUnit.SECONDS);
     }
   }
 
@@ -301,7 +245,7 @@
       try (StubServer server = new StubServer("a", COMPLETE, ConnectionAction.KEEP)) {
         configure(RequestKind.NON_IDEMPOTENT, server);
         String request =
-            "POST /p/x HTTP/1.1\r\nHost: h\r\nid: 1\r\n" + lines(headers) + "\r\n\r\nx";
+            "POST /p/x HTTP/1.1\r\nHost: h\r\nid: 1\r\n" + TestGateway.lines(headers) + "\r\n\r\nx";
         assertThat(exchange(request)).as(name).startsWith("HTTP/1.1 400");
         assertThat(server.requestHeads()).isEmpty();
       }
@@ -322,76 +266,14 @@
   }
 
   private void configure(RequestKind kind, Optional<EngineSpec> engine, StubServer... servers) {
-    Route route =
-        new Route(
-            "r",
-            "h",
-            "/p/",
-            kind,
-            false,
-            1_000,
-            300,
-            1_000,
-            0,
-            2,
-            List.of(new ServiceShare("s", 1)));
-    state.setConfig(
-        new GatewayConfig(
-            1,
-            List.of(route),
-            Map.of("s", new ServiceSpec("s", 10, engine)),
-            new GatewayLimits(8_192, 8_192, 1_000, 5_000)));
-    Map<String, ServerEntry> entries = new HashMap<>();
-    for (StubServer server : servers) {
-      ServerEntry entry = server.entry("s");
-      entries.put(entry.incarnation().id(), entry);
-    }
-    state.setFleet(new Fleet(entries));
+    gateway.configure(TestGateway.route(kind, false), engine, servers);
   }
 
   private String call(String method, String id) throws IOException {
-    return exchange(
-        method
-            + " /p/x?q=1 HTTP/1.1\r\nHost: h\r\nreserved: 1\r\nConnection: close\r\nid: "
-            + id
-            + "\r\n\r\n");
+    return gateway.call(method, id, "");
   }
 
-  /**
-   * Returns what the gateway sends until it closes the connection. For a request without
-   * "Connection: close", reads until the end of the response head only.
-   */
   private String exchange(String request) throws IOException {
-    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
-      socket.setSoTimeout(3_000);
-      socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
-      StringBuilder received = new StringBuilder();
-      byte[] buffer = new byte[4_096];
-      try {
-        int read = socket.getInputStream().read(buffer);
-        while (read >= 0) {
-          received.append(new String(buffer, 0, read, StandardCharsets.UTF_8));
-          if (!request.contains("Connection: close") && received.toString().contains("\r\n\r\n")) {
-            break;
-          }
-          read = socket.getInputStream().read(buffer);
-        }
-      } catch (SocketTimeoutException e) {
-        received.append("(no end)");
-      }
-      return received.toString();
-    }
-  }
-
-  private static boolean isComplete(String received) {
-    int body = received.indexOf("\r\n\r\n") + 4;
-    String length = StubServer.header(received.substring(0, body), "content-length");
-    return length.isEmpty()
-        ? received.endsWith("0\r\n\r\n")
-        : received.length() - body == Integer.parseInt(length);
-  }
-
-  private static String lines(String text) {
-    return text.replace("|", "\r\n");
+    return gateway.exchange(request);
   }
 }
--- a/node/src/test/java/io/nutmegseam/node/gateway/StubServer.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/StubServer.java
@@ -13,11 +13,12 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.UnaryOperator;
 
-/** A backend server on loopback that responds to every request with the same bytes. */
+/** A backend server on loopback whose responses depend on nothing but the head of the request. */
 final class StubServer implements AutoCloseable {
   private final String id;
-  private final String response;
+  private final UnaryOperator<String> responseForHead;
   private final ConnectionAction afterResponse;
   private final ServerSocket listener;
   private final List<String> requestHeads = new CopyOnWriteArrayList<>();
@@ -29,9 +30,23 @@
     RESET
   }
 
+  /** Creates a server that responds to every request with the same bytes. */
   StubServer(String id, String response, ConnectionAction afterResponse) throws IOException {
+    this(id, head -> response, afterResponse);
+  }
+
+  /**
+   * Creates a server.
+   *
+   * @param id id of the server
+   * @param responseForHead returns the response to a request with a head; {@code {id}} in it stands
+   *     for the id of the request
+   * @param afterResponse what happens to the connection after a response
+   */
+  StubServer(String id, UnaryOperator<String> responseForHead, ConnectionAction afterResponse)
+      throws IOException {
     this.id = id;
-    this.response = response;
+    this.responseForHead = responseForHead;
     this.afterResponse = afterResponse;
     this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     Thread acceptor = new Thread(this::accept, "canned-response-" + id);
@@ -82,8 +97,9 @@
       String head = readHead(socket.getInputStream());
       while (!head.isEmpty()) {
         requestHeads.add(head);
-        String id = header(head, GatewayWireTest.ID_HEADER);
-        byte[] bytes = response.replace("{id}", id).getBytes(StandardCharsets.UTF_8);
+        String requestId = header(head, TestGateway.HEADERS.requestId());
+        String response = responseForHead.apply(head).replace("{id}", requestId);
+        byte[] bytes = response.getBytes(StandardCharsets.UTF_8);
         socket.getOutputStream().write(bytes);
         socket.getOutputStream().flush();
         if (afterResponse != ConnectionAction.KEEP) {
--- /dev/null
+++ b/node/src/test/java/io/nutmegseam/node/gateway/TestGateway.java
@@ -0,0 +1,171 @@
+package io.nutmegseam.node.gateway;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.nutmegseam.core.fleet.Fleet;
+import io.nutmegseam.core.fleet.ServerEntry;
+import io.nutmegseam.core.gateway.EngineSpec;
+import io.nutmegseam.core.gateway.GatewayConfig;
+import io.nutmegseam.core.gateway.GatewayLimits;
+import io.nutmegseam.core.gateway.RequestKind;
+import io.nutmegseam.core.gateway.Route;
+import io.nutmegseam.core.gateway.ServiceShare;
+import io.nutmegseam.core.gateway.ServiceSpec;
+import io.nutmegseam.node.control.MonotonicClock;
+import io.nutmegseam.node.settings.HostPort;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.time.Clock;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/** A gateway on loopback, with one route to one service, and a caller. */
+final class TestGateway implements AutoCloseable {
+  static final GatewayHeaders HEADERS =
+      new GatewayHeaders(
+          "id",
+          "left",
+          "model",
+          "tokens",
+          "prompt",
+          "last",
+          "expect",
+          "not-run",
+          "receipt",
+          "load",
+          "priority",
+          Set.of("expect", "reserved"));
+
+  private static final int MAX_BODY_BYTES = 64 << 20;
+  private static final int READ_TIMEOUT_MILLIS = 3_000;
+
+  private final Clock clock = new MonotonicClock();
+  private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+  private final GatewayState state = new GatewayState();
+  private final ModelWaitQueue waitQueue = new ModelWaitQueue(() -> {});
+  private final EventLoop loop = group.next();
+  private final int port;
+
+  TestGateway() throws IOException {
+    ServerLoads loads = new ServerLoads(clock);
+    TrafficContext context =
+        new TrafficContext(
+            loop,
+            clock,
+            HEADERS,
+            state,
+            new ServerConnectionPools(loop, HEADERS.requestId(), clock),
+            new ServerChooser("dc", loads, new Random(1), clock),
+            loads,
+            new RetryLimiter(0.2, 50, 10_000, 1, clock),
+            waitQueue,
+            new ArrivalCounts(),
+            (kind, subject, detail) -> {},
+            new GatewayMetrics());
+    try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      port = probe.getLocalPort();
+    }
+    new GatewayServer(group, context).listen(new HostPort("127.0.0.1", port));
+  }
+
+  GatewayState state() {
+    return state;
+  }
+
+  ModelWaitQueue waitQueue() {
+    return waitQueue;
+  }
+
+  EventLoop loop() {
+    return loop;
+  }
+
+  @Override
+  public void close() {
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+  }
+
+  /** Returns the route of the host h and the path /p/, with a timeout of one second. */
+  static Route route(RequestKind kind, boolean resumable) {
+    List<ServiceShare> shares = List.of(new ServiceShare("s", 1));
+    return new Route("r", "h", "/p/", kind, resumable, 1_000, 300, 1_000, 0, 2, shares);
+  }
+
+  /** Makes the route, the service s and its servers known to the gateway. */
+  void configure(Route route, Optional<EngineSpec> engine, StubServer... servers) {
+    state.setConfig(
+        new GatewayConfig(
+            1,
+            List.of(route),
+            Map.of("s", new ServiceSpec("s", 10, engine)),
+            new GatewayLimits(8_192, MAX_BODY_BYTES, 1_000, 5_000)));
+    Map<String, ServerEntry> entries = new HashMap<>();
+    for (StubServer server : servers) {
+      ServerEntry entry = server.entry("s");
+      entries.put(entry.incarnation().id(), entry);
+    }
+    state.setFleet(new Fleet(entries));
+  }
+
+  /** Sends a request and returns what the gateway sends until it closes the connection. */
+  String call(String method, String id, String body) throws IOException {
+    String length = body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n";
+    return exchange(
+        method
+            + " /p/x?q=1 HTTP/1.1\r\nHost: h\r\nreserved: 1\r\nConnection: close\r\nid: "
+            + id
+            + "\r\n"
+            + length
+            + "\r\n"
+            + body);
+  }
+
+  /**
+   * Returns what the gateway sends until it closes the connection. For a request without
+   * "Connection: close", reads until the end of the response head only.
+   */
+  String exchange(String request) throws IOException {
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+      StringBuilder received = new StringBuilder();
+      byte[] buffer = new byte[4_096];
+      try {
+        int read = socket.getInputStream().read(buffer);
+        while (read >= 0) {
+          received.append(new String(buffer, 0, read, StandardCharsets.UTF_8));
+          if (!request.contains("Connection: close") && received.toString().contains("\r\n\r\n")) {
+            break;
+          }
+          read = socket.getInputStream().read(buffer);
+        }
+      } catch (SocketTimeoutException e) {
+        received.append("(no end)");
+      }
+      return received.toString();
+    }
+  }
+
+  /** Returns whether a response is complete by its length or its last chunk. */
+  static boolean isComplete(String received) {
+    int body = received.indexOf("\r\n\r\n") + 4;
+    String length = StubServer.header(received.substring(0, body), "content-length");
+    return length.isEmpty()
+        ? received.endsWith("0\r\n\r\n")
+        : received.length() - body == Integer.parseInt(length);
+  }
+
+  /** Replaces each vertical bar by a line end. */
+  static String lines(String text) {
+    return text.replace("|", "\r\n");
+  }
+}
