--- a/node/src/test/java/io/nutmegseam/node/gateway/StubServer.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/StubServer.java
@@ -20,6 +20,10 @@
   private final String id;
   private final UnaryOperator<String> responseForHead;
   private final ConnectionAction afterResponse;
+
+  /** Time for the gateway to forward a response before its connection is reset. */
+  private static final long RESET_DELAY_MILLIS = 300;
+
   private final ServerSocket listener;
   private final List<String> requestHeads = new CopyOnWriteArrayList<>();
 
@@ -27,7 +31,8 @@
   enum ConnectionAction {
     KEEP,
     CLOSE,
-    RESET
+    RESET,
+    RESET_WITHOUT_READING_THE_BODY
   }
 
   /** Creates a server that responds to every request with the same bytes. */
@@ -102,14 +107,19 @@
         byte[] bytes = response.getBytes(StandardCharsets.UTF_8);
         socket.getOutputStream().write(bytes);
         socket.getOutputStream().flush();
+        if (afterResponse == ConnectionAction.RESET_WITHOUT_READING_THE_BODY) {
+          Thread.sleep(RESET_DELAY_MILLIS);
+        }
         if (afterResponse != ConnectionAction.KEEP) {
-          socket.setSoLinger(afterResponse == ConnectionAction.RESET, 0);
+          socket.setSoLinger(afterResponse != ConnectionAction.CLOSE, 0);
           return;
         }
         head = readHead(socket.getInputStream());
       }
     } catch (IOException e) {
       requestHeads.add("");
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
   }
 
@@ -123,7 +133,7 @@
   }
 
   /** Reads a request and returns its head. A body is read only if it has a Content-Length. */
-  private static String readHead(InputStream in) throws IOException {
+  private String readHead(InputStream in) throws IOException {
     StringBuilder head = new StringBuilder();
     while (head.indexOf("\r\n\r\n") < 0) {
       int next = in.read();
@@ -133,7 +143,7 @@
       head.append((char) next);
     }
     String length = header(head.toString(), "content-length");
-    if (!length.isEmpty()) {
+    if (!length.isEmpty() && afterResponse != ConnectionAction.RESET_WITHOUT_READING_THE_BODY) {
       in.readNBytes(Integer.parseInt(length));
     }
     return head.toString();
--- /dev/null
+++ b/node/src/test/java/io/nutmegseam/node/gateway/TruncatedResponseTest.java
@@ -0,0 +1,200 @@
+package io.nutmegseam.node.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.nutmegseam.core.gateway.RequestKind;
+import io.nutmegseam.node.gateway.StubServer.ConnectionAction;
+import java.io.IOException;
+import java.util.Optional;
+import java.util.function.UnaryOperator;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards against responses that a server breaks off and that look complete to the caller. */
+class TruncatedResponseTest {
+  private static final String OK = "HTTP/1.1 200 OK\r\nid: {id}\r\nreceipt: r\r\n";
+  private static final String STREAM = OK + "Content-Type: text/event-stream\r\n";
+  private static final String UNFRAMED_STREAM = STREAM + "\r\n";
+  private static final String FIRST_EVENT = "id: 1\ndata: a\n\n";
+  private static final String SECOND_EVENT = "id: 2\ndata: b\n\n";
+  private static final String PARTIAL_EVENT = "id: 2\nda";
+
+  /** Larger than the send and receive buffers of a connection together. */
+  private static final int LARGE_BODY_BYTES = 32 << 20;
+
+  private static final int LARGE_EVENT_BYTES = 600 << 10;
+
+  private TestGateway gateway;
+
+  @BeforeEach
+  void startGateway() throws IOException {
+    gateway = new TestGateway();
+  }
+
+  @AfterEach
+  void stopGateway() {
+    gateway.close();
+  }
+
+  /** The process of a server crashes, which closes its connections in order. */
+  @Nested
+  class ResumableStream {
+    @Tag("known-red")
+    @ParameterizedTest
+    @CsvSource({
+      "end of the connection, ''",
+      "last chunk, Transfer-Encoding: chunked",
+      "length, Content-Length: 23"
+    })
+    void should_resume_a_stream_that_ends_inside_an_event(String name, String framing)
+        throws Exception {
+      // GIVEN
+      String begun = STREAM + framed(framing, FIRST_EVENT + PARTIAL_EVENT);
+      String resumed = STREAM + framed("Transfer-Encoding: chunked", SECOND_EVENT);
+      UnaryOperator<String> responses =
+          head -> StubServer.header(head, "last").equals("1") ? resumed : begun;
+      try (StubServer one = new StubServer("a", responses, ConnectionAction.CLOSE);
+          StubServer other = new StubServer("b", responses, ConnectionAction.CLOSE)) {
+        configure(true, one, other);
+        // WHEN
+        String received = gateway.call("POST", "1", "");
+        // THEN
+        assertThat(bodyOf(received)).as(name).isEqualTo(FIRST_EVENT + SECOND_EVENT);
+        assertThat(TestGateway.isComplete(received)).as(received).isTrue();
+      }
+    }
+
+    @Tag("known-red")
+    @Test
+    void should_not_complete_a_stream_that_ends_inside_an_event_without_another_server()
+        throws Exception {
+      assertNotCompleted(true, UNFRAMED_STREAM + FIRST_EVENT + PARTIAL_EVENT);
+    }
+
+    /** An event that is too large to be held back until its end arrives. */
+    @Tag("known-red")
+    @Test
+    void should_not_join_the_parts_of_an_event_of_two_servers() throws Exception {
+      // GIVEN
+      String partial = "id: 2\ndata: " + "x".repeat(LARGE_EVENT_BYTES);
+      String begun =
+          STREAM + "Transfer-Encoding: chunked\r\n\r\n" + chunk(FIRST_EVENT) + chunk(partial);
+      String resumed = STREAM + framed("Transfer-Encoding: chunked", SECOND_EVENT);
+      UnaryOperator<String> responses =
+          head -> StubServer.header(head, "last").isEmpty() ? begun : resumed;
+      try (StubServer one = new StubServer("a", responses, ConnectionAction.CLOSE);
+          StubServer other = new StubServer("b", responses, ConnectionAction.CLOSE)) {
+        configure(true, one, other);
+        // WHEN
+        String received = gateway.call("POST", "1", "");
+        // THEN
+        assertThat(received).contains("id: 1").doesNotContain("(no end)");
+        if (TestGateway.isComplete(received)) {
+          assertThat(bodyOf(received)).isEqualTo(FIRST_EVENT + SECOND_EVENT);
+        }
+      }
+    }
+
+    @Test
+    void should_complete_a_stream_that_ends_with_its_connection_after_an_event() throws Exception {
+      String response = UNFRAMED_STREAM + FIRST_EVENT + SECOND_EVENT;
+      try (StubServer server = new StubServer("a", response, ConnectionAction.CLOSE)) {
+        configure(true, server);
+        String received = gateway.call("POST", "1", "");
+        assertThat(TestGateway.isComplete(received)).as(received).isTrue();
+        assertThat(bodyOf(received)).isEqualTo(FIRST_EVENT + SECOND_EVENT);
+      }
+    }
+
+    /** A server that crashes after the head of its response and before the first event. */
+    @Tag("known-red")
+    @Test
+    void should_not_complete_a_stream_that_ends_with_its_connection_before_any_event()
+        throws Exception {
+      assertNotCompleted(true, UNFRAMED_STREAM);
+    }
+  }
+
+  /** The stream is not resumable, so that its events are not needed to resume it. */
+  @Nested
+  class OtherStream {
+    @Tag("known-red")
+    @ParameterizedTest
+    @CsvSource({
+      "end of the connection, ''",
+      "last chunk, Transfer-Encoding: chunked",
+      "length, Content-Length: 23"
+    })
+    void should_not_complete_a_stream_that_ends_inside_an_event(String name, String framing)
+        throws Exception {
+      assertNotCompleted(false, STREAM + framed(framing, FIRST_EVENT + PARTIAL_EVENT));
+    }
+
+    @Tag("known-red")
+    @Test
+    void should_not_complete_a_stream_that_ends_with_its_connection_before_any_event()
+        throws Exception {
+      assertNotCompleted(false, UNFRAMED_STREAM);
+    }
+  }
+
+  /** The connection fails while the request is still being written. */
+  @Nested
+  class FailedWrite {
+    @Tag("known-red")
+    @Test
+    void should_not_take_a_failed_write_for_the_end_of_the_response() throws Exception {
+      // GIVEN
+      String unframed = OK + "\r\nhello";
+      try (StubServer server =
+          new StubServer("a", unframed, ConnectionAction.RESET_WITHOUT_READING_THE_BODY)) {
+        gateway.configure(
+            TestGateway.route(RequestKind.NON_IDEMPOTENT, false), Optional.empty(), server);
+        // WHEN
+        String received = gateway.call("POST", "1", "x".repeat(LARGE_BODY_BYTES));
+        // THEN
+        assertThat(received).startsWith("HTTP/1.1 200").contains("hello");
+        assertThat(TestGateway.isComplete(received)).as(received).isFalse();
+      }
+    }
+  }
+
+  private void assertNotCompleted(boolean resumable, String response) throws Exception {
+    try (StubServer server = new StubServer("a", response, ConnectionAction.CLOSE)) {
+      configure(resumable, server);
+      String received = gateway.call("POST", "1", "");
+      assertThat(received).startsWith("HTTP/1.1 200").doesNotContain("(no end)");
+      assertThat(TestGateway.isComplete(received)).as(received).isFalse();
+    }
+  }
+
+  private void configure(boolean resumable, StubServer... servers) {
+    gateway.configure(
+        TestGateway.route(RequestKind.STREAMING, resumable), Optional.empty(), servers);
+  }
+
+  /** Returns the end of a response head, and a body that is whole by a framing header. */
+  private static String framed(String framingHeader, String body) {
+    if (framingHeader.isEmpty()) {
+      return "\r\n" + body;
+    }
+    return framingHeader.startsWith("Transfer-Encoding")
+        ? "%s\r\n\r\n%s0\r\n\r\n".formatted(framingHeader, chunk(body))
+        : "%s\r\n\r\n%s".formatted(framingHeader, body);
+  }
+
+  private static String chunk(String text) {
+    return "%x\r\n%s\r\n".formatted(text.length(), text);
+  }
+
+  /** Returns the body of a response; decodes chunks. */
+  private static String bodyOf(String received) {
+    String body = received.substring(received.indexOf("\r\n\r\n") + 4);
+    return body.replaceAll("(?<=^|\r\n)[0-9a-f]+\r\n", "").replace("\r\n", "");
+  }
+}
