--- a/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
@@ -9,10 +9,7 @@
 import io.nutmegseam.core.error.RequestException;
 import io.nutmegseam.core.fleet.ServerEntry;
 import io.nutmegseam.core.gateway.RequestKind;
-import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -37,8 +34,8 @@
   private final String id;
   private final RequestLog log;
   private final FirstByteTimer firstByteTimer;
-  private final Set<String> triedServers = new HashSet<>();
   private RequestPlan plan;
+  private ServerSelection selection;
   private ScheduledFuture<?> deadlineTimer;
   private ModelWaitQueue.Key waitKey;
   private Attempt attempt;
@@ -79,6 +76,7 @@
       refuse(e);
       return;
     }
+    selection = new ServerSelection(context, plan);
     deadlineTimer =
         context
             .loop()
@@ -133,8 +131,8 @@
   }
 
   private void dispatch() {
-    Optional<ServerEntry> chosen = choose();
-    if (chosen.isPresent() && wouldMissTarget(chosen.get())) {
+    Optional<ServerEntry> chosen = selection.choose();
+    if (chosen.isPresent() && !mayHaveRun && selection.wouldMissTarget(chosen.get())) {
       refuse(
           GatewayErrors.queueTooLong(
               plan.description(), plan.route().targetLatencyMillis(), RetryAfter.jitteredMillis()));
@@ -147,34 +145,13 @@
           plan.route().isRetryable() ? REPEATABLE_MAX_IDLE_MILLIS : NON_REPEATABLE_MAX_IDLE_MILLIS);
     } else if (relay.isStarted()) {
       abortResponse("no server can resume the response");
-    } else if (plan.ref().isPresent() && eligibleServers().isEmpty()) {
+    } else if (selection.isModelMissing()) {
       waitForModel();
     } else {
       refuse(orBackendLost(GatewayErrors.noServer(plan.description(), RetryAfter.OVERLOAD_MILLIS)));
     }
   }
 
-  /**
-   * Returns whether requests already wait at the server for longer than the target latency.
-   * Accepting more requests than servers can handle in time would make all of them late.
-   */
-  private boolean wouldMissTarget(ServerEntry server) {
-    return plan.route().kind() == RequestKind.STREAMING
-        && !mayHaveRun
-        && context.loads().queueMillis(server.incarnation().id())
-            > plan.route().targetLatencyMillis();
-  }
-
-  private Optional<ServerEntry> choose() {
-    ServerChooser.Criteria criteria =
-        new ServerChooser.Criteria(plan.service(), plan.ref(), plan.affinity(), triedServers);
-    return context.chooser().choose(context.state().fleet(), criteria);
-  }
-
-  private List<ServerEntry> eligibleServers() {
-    return context.chooser().eligibleServers(context.state().fleet(), plan.service(), plan.ref());
-  }
-
   /** Queues the request until its model is loaded; refuses it if that is expected too late. */
   private void waitForModel() {
     Long readyAtMillis =
@@ -219,8 +196,8 @@
       return;
     }
     Attempt stalled = attempt;
-    triedServers.add(stalled.server().incarnation().id());
-    if (choose().isPresent() && context.retries().tryAcquire(plan.service())) {
+    selection.exclude(stalled.server());
+    if (selection.choose().isPresent() && context.retries().tryAcquire(plan.service())) {
       runs += stalled.isSent() ? 1 : 0;
       mayHaveRun |= stalled.isSent();
       context.loads().onFailed(stalled.server().incarnation().id());
@@ -353,7 +330,7 @@
     if (misdirected && plan.ref().isPresent()) {
       context.chooser().onModelMissing(server, plan.ref().get());
     } else {
-      triedServers.add(server.incarnation().id());
+      selection.exclude(server);
       context.loads().onFull(server.incarnation().id(), REFUSED_PAUSE_MILLIS);
     }
     retryOrFail(cause, GatewayErrors.backendRefused(reason, RetryAfter.OVERLOAD_MILLIS));
@@ -361,7 +338,7 @@
 
   @Override
   public void onLost(String reason) {
-    triedServers.add(attempt.server().incarnation().id());
+    selection.exclude(attempt.server());
     runs++;
     mayHaveRun = true;
     retryOrFail("lost", GatewayErrors.backendLost(reason));
@@ -370,10 +347,12 @@
   @Override
   public void onServerError(HttpResponse head, ByteString body, String reason) {
     ServerEntry server = attempt.server();
-    triedServers.add(server.incarnation().id());
+    selection.exclude(server);
     runs++;
     mayHaveRun = true;
-    if (mayRunAgain() && choose().isPresent() && context.retries().tryAcquire(plan.service())) {
+    if (mayRunAgain()
+        && selection.choose().isPresent()
+        && context.retries().tryAcquire(plan.service())) {
       attempt = null;
       log.onRetried("server-error", reason);
       dispatch();
@@ -388,7 +367,7 @@
 
   @Override
   public void onTruncated(String reason) {
-    triedServers.add(attempt.server().incarnation().id());
+    selection.exclude(attempt.server());
     if (relay.lastEventId().isEmpty()) {
       abortResponse(reason);
       return;
--- /dev/null
+++ b/node/src/main/java/io/nutmegseam/node/gateway/ServerSelection.java
@@ -0,0 +1,56 @@
+package io.nutmegseam.node.gateway;
+
+import io.nutmegseam.core.fleet.ServerEntry;
+import io.nutmegseam.core.gateway.RequestKind;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+/** Selects the servers of one request, one after the other. Confined to the traffic thread. */
+final class ServerSelection {
+  private final TrafficContext context;
+  private final RequestPlan plan;
+  private final Set<String> excludedIds = new HashSet<>();
+
+  /**
+   * Creates a selection without excluded servers.
+   *
+   * @param context dependencies shared by all requests
+   * @param plan routing decision for the request
+   */
+  ServerSelection(TrafficContext context, RequestPlan plan) {
+    this.context = context;
+    this.plan = plan;
+  }
+
+  /** Excludes a server that has been tried. */
+  void exclude(ServerEntry server) {
+    excludedIds.add(server.incarnation().id());
+  }
+
+  /** Returns the next server, or empty if none can accept the request now. */
+  Optional<ServerEntry> choose() {
+    ServerChooser.Criteria criteria =
+        new ServerChooser.Criteria(plan.service(), plan.ref(), plan.affinity(), excludedIds);
+    return context.chooser().choose(context.state().fleet(), criteria);
+  }
+
+  /** Returns whether the request needs a model that no server has loaded. */
+  boolean isModelMissing() {
+    return plan.ref().isPresent()
+        && context
+            .chooser()
+            .eligibleServers(context.state().fleet(), plan.service(), plan.ref())
+            .isEmpty();
+  }
+
+  /**
+   * Returns whether requests already wait at a server for longer than the target latency. Accepting
+   * more requests than servers can handle in time would make all of them late.
+   */
+  boolean wouldMissTarget(ServerEntry server) {
+    return plan.route().kind() == RequestKind.STREAMING
+        && context.loads().queueMillis(server.incarnation().id())
+            > plan.route().targetLatencyMillis();
+  }
+}
