Do not complete a stream that ends inside an event

Cause: an end that is inferred. At the end of a response SseEventAssembler.end forwarded the rest of an event and the caller's response got its last chunk. A response without length and chunks ends with its connection, which a crashed process closes in order, so that the end of the response proves nothing; only the end of its last event does. Ruled out by the record: a resumed stream (one server per request), a late or reset connection (4 ms after the crash). Change: a response is complete only if its relay finds it whole; a stream that ends inside an event is resumed at another server after the last whole event, or aborted. The Content-Length of a stream is not forwarded, since a resumed stream has another one. Error responses on streaming routes are no event streams and are forwarded as they are. Shown: should_resume_a_stream_that_ends_inside_an_event (3 cases) and should_not_complete_a_stream_that_ends_inside_an_event_without_another_server failed on and pass now. The test should_forward_the_remainder_at_the_end_of_a_complete_response asserted the fault. It is replaced by should_report_and_withhold_an_event_without_its_end, which checks the same input for the opposite outcome.

--- a/node/src/main/java/io/nutmegseam/node/gateway/Attempt.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/Attempt.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.nutmegseam.core.event.EventKind;
 import io.nutmegseam.core.fleet.ServerEntry;
+import java.util.Optional;
 
 /**
  * Sends a request to one server and reports the outcome to its owner. Confined to the traffic
@@ -51,6 +52,11 @@
     /** Handles a part of the body. */
     void onContent(ByteBuf content);
 
+    /**
+     * Returns why a forwarded response is not whole although it has ended; empty if it is whole.
+     */
+    Optional<String> findTruncation(ResponseEnd end);
+
     /** Handles the end of a complete response. */
     void onComplete(ResponseEnd end);
 
@@ -184,7 +190,12 @@
       return;
     }
     markEnded();
-    if (withheldHead == null) {
+    Optional<String> truncation =
+        withheldHead == null ? owner.findTruncation(end) : Optional.empty();
+    if (truncation.isPresent()) {
+      context.loads().onFailed(serverId());
+      owner.onTruncated("%s: %s, %s".formatted(server.incarnation(), truncation.get(), end));
+    } else if (withheldHead == null) {
       context.loads().onSucceeded(serverId());
       owner.onComplete(end);
     } else if (provesNotRun(withheldHead)) {
--- a/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
@@ -316,6 +316,11 @@
     }
   }
 
+  @Override
+  public Optional<String> findTruncation(ResponseEnd end) {
+    return relay.findTruncation();
+  }
+
   @Override
   public void onComplete(ResponseEnd end) {
     log.onCompleted(attempt.server(), dispatches, relay.receivedText() + " " + end);
--- a/node/src/main/java/io/nutmegseam/node/gateway/ResponseRelay.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/ResponseRelay.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.nutmegseam.core.gateway.RequestKind;
 import io.nutmegseam.core.gateway.Route;
 import java.util.Optional;
@@ -42,9 +43,11 @@
     }
     started = true;
     HttpHeaders headers = ForwardedHeaders.toCaller(head.headers());
-    boolean fixedLength = headers.contains(HttpHeaderNames.CONTENT_LENGTH);
-    if (route.kind() == RequestKind.STREAMING && route.resumable() && !fixedLength) {
+    boolean success = head.status().codeClass() == HttpStatusClass.SUCCESS;
+    if (success && route.kind() == RequestKind.STREAMING && route.resumable()) {
       assembler = new SseEventAssembler(ByteBufAllocator.DEFAULT, writer::writeContent);
+      // The length of one server's stream is not that of a resumed one.
+      headers.remove(HttpHeaderNames.CONTENT_LENGTH);
     }
     writer.writeHead(head.status(), headers);
   }
@@ -67,11 +70,19 @@
         : "%d bytes with a partial event of %d bytes".formatted(bodyBytes, partialBytes);
   }
 
+  /**
+   * Returns why a response that has ended is not whole; empty if it is. An event stream proves with
+   * the end of its last event that it was not broken off.
+   */
+  Optional<String> findTruncation() {
+    int partialBytes = assembler == null ? 0 : assembler.partialEventBytes();
+    return partialBytes == 0
+        ? Optional.empty()
+        : Optional.of("stream ended inside an event, after %d bytes of it".formatted(partialBytes));
+  }
+
   /** Ends a complete response. */
   void end() {
-    if (assembler != null) {
-      assembler.end();
-    }
     writer.end();
   }
 
--- a/node/src/main/java/io/nutmegseam/node/gateway/SseEventAssembler.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/SseEventAssembler.java
@@ -59,13 +59,6 @@
     }
   }
 
-  /** Forwards the remaining data at the end of a complete response. */
-  void end() {
-    if (buffered.isReadable()) {
-      sink.accept(buffered.readSlice(buffered.readableBytes()));
-    }
-  }
-
   /** Discards an event of which the server sent only a part. */
   void discardPartialEvent() {
     buffered.skipBytes(buffered.readableBytes());
