Stub server: wait for the acceptor when the listener is closed

GatewayWireTest$RetrySafety.should_refuse_immediately_if_no_server_listens failed once: the closed stub responded with its 200. Cause: ServerSocket.close returns while another thread may still be inside accept, and the kernel then accepts one more connection.

--- a/node/src/test/java/io/nutmegseam/node/gateway/StubServer.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/StubServer.java
@@ -25,6 +25,7 @@
   private static final long RESET_DELAY_MILLIS = 300;
 
   private final ServerSocket listener;
+  private final Thread acceptor;
   private final List<String> requestHeads = new CopyOnWriteArrayList<>();
 
   /** What the server does with the connection after a response. */
@@ -54,7 +55,7 @@
     this.responseForHead = responseForHead;
     this.afterResponse = afterResponse;
     this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-    Thread acceptor = new Thread(this::accept, "canned-response-" + id);
+    this.acceptor = new Thread(this::accept, "canned-response-" + id);
     acceptor.setDaemon(true);
     acceptor.start();
   }
@@ -79,9 +80,15 @@
     return List.copyOf(requestHeads);
   }
 
+  /** Closes the listener. A thread that still waits in accept could take one more connection. */
   @Override
   public void close() throws IOException {
     listener.close();
+    try {
+      acceptor.join();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
   }
 
   private void accept() {
