Log the software version of servers, and streams that callers take up

The lines of the incident name servers by id only, and nothing tells that a request takes up a stream, so that they cannot tell a stream that a node resumed from one that its caller took up, nor at which versions its parts ran. The version of an entry is read, forwarded to the other nodes of the data centre and logged in REQUEST_DISPATCHED. Servers are chosen as before.

--- a/core/src/main/java/io/nutmegseam/core/fleet/ServerEntry.java
+++ b/core/src/main/java/io/nutmegseam/core/fleet/ServerEntry.java
@@ -5,6 +5,7 @@
  *
  * @param incarnation the run of the server's process
  * @param service name of its service
+ * @param softwareVersion version of its software, which is not that of the models' weights
  * @param host IP address
  * @param port port for requests
  * @param dataCentre data centre in which it runs
@@ -15,6 +16,7 @@
 public record ServerEntry(
     Incarnation incarnation,
     String service,
+    String softwareVersion,
     String host,
     int port,
     String dataCentre,
@@ -24,12 +26,21 @@
   /** Returns a copy with another inventory. */
   public ServerEntry withInventory(Inventory newInventory) {
     return new ServerEntry(
-        incarnation, service, host, port, dataCentre, slots, draining, newInventory);
+        incarnation,
+        service,
+        softwareVersion,
+        host,
+        port,
+        dataCentre,
+        slots,
+        draining,
+        newInventory);
   }
 
   /** Returns a copy that is draining. */
   public ServerEntry asDraining() {
-    return new ServerEntry(incarnation, service, host, port, dataCentre, slots, true, inventory);
+    return new ServerEntry(
+        incarnation, service, softwareVersion, host, port, dataCentre, slots, true, inventory);
   }
 
   /** Returns the address for requests, as {@code host:port}. */
--- a/core/src/test/java/io/nutmegseam/core/orders/FleetFixtures.java
+++ b/core/src/test/java/io/nutmegseam/core/orders/FleetFixtures.java
@@ -38,7 +38,7 @@
 
   static ServerEntry entry(String id, Inventory inventory, boolean draining) {
     return new ServerEntry(
-        new Incarnation(id, 1), "llm", "127.0.0.1", 1, "dc", 32, draining, inventory);
+        new Incarnation(id, 1), "llm", "v1", "127.0.0.1", 1, "dc", 32, draining, inventory);
   }
 
   static ModelRef ref(String model) {
--- a/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
@@ -88,9 +88,18 @@
       context.arrivals().onArrival(plan.modelKey());
     }
     context.retries().onNewRequest(plan.service());
+    logResumption();
     dispatch();
   }
 
+  private void logResumption() {
+    String firstRequestId = request.headers().get(context.headers().resumes(), "");
+    String lastEventId = request.headers().get(context.headers().lastEventId(), "");
+    if (!firstRequestId.isEmpty() || !lastEventId.isEmpty()) {
+      log.onResumes(firstRequestId, lastEventId);
+    }
+  }
+
   /** Stops all work on the request, since the caller has closed the connection. */
   void cancel() {
     if (!done) {
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayHeaders.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayHeaders.java
@@ -12,6 +12,8 @@
  *     comma
  * @param prompt parts of the prompt, as {@code id:tokens} pairs separated by commas
  * @param lastEventId id of the last event that the caller has received
+ * @param resumes id of the request that brought the first event of the stream that the caller takes
+ *     up
  * @param expectedServer id of the server that may run the request
  * @param notRun present on a response which states that the request did not run
  * @param receipt present on every response that was created by a server
@@ -27,6 +29,7 @@
     String tokens,
     String prompt,
     String lastEventId,
+    String resumes,
     String expectedServer,
     String notRun,
     String receipt,
--- a/node/src/main/java/io/nutmegseam/node/gateway/RequestLog.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/RequestLog.java
@@ -29,7 +29,17 @@
 
   /** Logs that the request is sent to a server. */
   void onDispatched(RequestPlan plan, ServerEntry server) {
-    record(EventKind.REQUEST_DISPATCHED, plan.description() + ", server " + server.incarnation());
+    record(
+        EventKind.REQUEST_DISPATCHED,
+        "%s, server %s, software %s"
+            .formatted(plan.description(), server.incarnation(), server.softwareVersion()));
+  }
+
+  /** Logs that the request takes up a stream. */
+  void onResumes(String firstRequestId, String lastEventId) {
+    record(
+        EventKind.REQUEST_RESUMES,
+        "stream of request \"%s\" after event \"%s\"".formatted(firstRequestId, lastEventId));
   }
 
   /** Logs a complete response. */
--- a/node/src/main/java/io/nutmegseam/node/rows/TableUpdateCodec.java
+++ b/node/src/main/java/io/nutmegseam/node/rows/TableUpdateCodec.java
@@ -111,6 +111,7 @@
         .setServer(entry.incarnation().id())
         .setBornMillis(entry.incarnation().startedAtMillis())
         .setService(entry.service())
+        .setSoftwareVersion(entry.softwareVersion())
         .setHost(entry.host())
         .setPort(entry.port())
         .setDataCentre(entry.dataCentre())
@@ -124,6 +125,7 @@
     return new ServerEntry(
         new Incarnation(message.getServer(), message.getBornMillis()),
         message.getService(),
+        message.getSoftwareVersion(),
         message.getHost(),
         message.getPort(),
         message.getDataCentre(),
--- a/node/src/test/java/io/nutmegseam/node/gateway/FleetControlTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/FleetControlTest.java
@@ -135,7 +135,7 @@
   }
 
   private static ServerEntry entry(Inventory inventory) {
-    return new ServerEntry(SERVER, "llm", "127.0.0.1", 1, "dc", 12, false, inventory);
+    return new ServerEntry(SERVER, "llm", "v1", "127.0.0.1", 1, "dc", 12, false, inventory);
   }
 
   private static Inventory inventory(long orderCount, String model) {
--- a/node/src/test/java/io/nutmegseam/node/gateway/ServerChooserTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/ServerChooserTest.java
@@ -102,7 +102,7 @@
       entries.put(
           id,
           new ServerEntry(
-              new Incarnation(id, 1), "llm", "127.0.0.1", 1, "dc", 12, false, inventory));
+              new Incarnation(id, 1), "llm", "v1", "127.0.0.1", 1, "dc", 12, false, inventory));
     }
     return new Fleet(entries);
   }
--- a/node/src/test/java/io/nutmegseam/node/gateway/StubServer.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/StubServer.java
@@ -19,6 +19,7 @@
 final class StubServer implements AutoCloseable {
   private final String id;
   private final UnaryOperator<String> responseForHead;
+  private String softwareVersion = "v1";
   private final ConnectionAction afterResponse;
 
   /** Time for the gateway to forward a response before its connection is reset. */
@@ -60,10 +61,18 @@
     acceptor.start();
   }
 
+  /** Sets the version of the software, which is v1 at first. */
+  StubServer withSoftwareVersion(String version) {
+    softwareVersion = version;
+    return this;
+  }
+
+  /** Returns the server's entry. */
   ServerEntry entry(String service) {
     return new ServerEntry(
         new Incarnation(id, 1),
         service,
+        softwareVersion,
         "127.0.0.1",
         listener.getLocalPort(),
         "dc",
--- a/node/src/test/java/io/nutmegseam/node/gateway/TestGateway.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/TestGateway.java
@@ -38,6 +38,7 @@
           "tokens",
           "prompt",
           "last",
+          "resumes",
           "expect",
           "not-run",
           "receipt",
--- a/node/src/test/java/io/nutmegseam/node/rows/TableUpdateCodecTest.java
+++ b/node/src/test/java/io/nutmegseam/node/rows/TableUpdateCodecTest.java
@@ -43,6 +43,7 @@
         new ServerEntry(
             new Incarnation("s1", 12),
             "llm",
+            "v1.1",
             "10.0.0.1",
             80,
             "dc",
