Reproduce streams that go on at another software version

All three tests fail on this code:

- it does so although no other server has the version

The last test runs two nodes with one store in memory.

--- /dev/null
+++ b/node/src/test/java/io/nutmegseam/node/gateway/StreamVersionTest.java
@@ -0,0 +1,170 @@
+package io.nutmegseam.node.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import io.nutmegseam.core.gateway.RequestKind;
+import io.nutmegseam.node.gateway.StubServer.ConnectionAction;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against streams with events of two software versions of a service, which servers cannot
+ * detect.
+ */
+class StreamVersionTest {
+  private static final int STREAMS = 20;
+  private static final String STREAM =
+      "HTTP/1.1 200 OK\r\nid: {id}\r\nreceipt: r\r\nContent-Type: text/event-stream\r\n";
+  private static final String FIRST_EVENT = "id: 1\ndata: a\n\n";
+  private static final String TRUNCATED = STREAM + "\r\n" + FIRST_EVENT + "id: 2\nda";
+  private static final String REST =
+      STREAM + "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
+
+  /** A node resumes a stream that a server has broken off. */
+  @Nested
+  class ResumedByNode {
+    @Tag("known-red")
+    @Test
+    void should_resume_a_stream_only_at_the_version_that_began_it() throws Exception {
+      try (StubServer one = server("a", "v1");
+          StubServer same = server("b", "v1");
+          StubServer newer = server("c", "v1.1");
+          TestGateway gateway = new TestGateway()) {
+        // GIVEN
+        configure(gateway, one, same, newer);
+        // WHEN
+        int completed = 0;
+        for (int i = 0; i < STREAMS; i++) {
+          String received = gateway.call("POST", "r" + i, "");
+          completed += TestGateway.isComplete(received) ? 1 : 0;
+        }
+        // THEN
+        assertThat(streamsOverTwoVersions(one, same, newer)).isEmpty();
+        assertThat(completed).isPositive();
+      }
+    }
+
+    @Tag("known-red")
+    @Test
+    void should_abort_a_stream_if_no_other_server_has_its_version() throws Exception {
+      try (StubServer older = server("a", "v1");
+          StubServer newer = server("b", "v1.1");
+          TestGateway gateway = new TestGateway()) {
+        configure(gateway, older, newer);
+        String received = gateway.call("POST", "1", "");
+        assertThat(received).contains("id: 1").doesNotContain("(no end)");
+        assertThat(TestGateway.isComplete(received)).as(received).isFalse();
+        assertThat(streamsOverTwoVersions(older, newer)).isEmpty();
+      }
+    }
+  }
+
+  /** A caller takes up a stream at another node, after its connection has failed. */
+  @Nested
+  class TakenUpByCaller {
+    @Tag("known-red")
+    @Test
+    void should_resume_a_stream_at_another_node_only_at_its_version() throws Exception {
+      try (StubServer older = new StubServer("a", this::unfinished, ConnectionAction.KEEP);
+          StubServer newer =
+              new StubServer("b", this::unfinished, ConnectionAction.KEEP)
+                  .withSoftwareVersion("v1.1");
+          TestCluster cluster = new TestCluster(older, newer).start("n1").start("n2")) {
+        // GIVEN two nodes that know each other
+        await().until(() -> takesUp(cluster, "warm-up" + System.nanoTime()));
+        // WHEN
+        int takenUp = 0;
+        for (int i = 0; i < STREAMS; i++) {
+          takenUp += takesUp(cluster, "r" + i) ? 1 : 0;
+        }
+        // THEN
+        assertThat(streamsOverTwoVersions(older, newer)).isEmpty();
+        assertThat(takenUp).isEqualTo(STREAMS);
+      }
+    }
+
+    private String unfinished(String head) {
+      return isResumed(head) ? REST : STREAM + "\r\n" + FIRST_EVENT;
+    }
+
+    /** Begins a stream at the first node and takes it up at the second one. */
+    private boolean takesUp(TestCluster cluster, String id) throws IOException {
+      try (Socket begun = cluster.connect("n1")) {
+        send(begun, "id: " + id);
+        assertThat(readUntil(begun, "data: a\n\n")).startsWith("HTTP/1.1 200");
+      }
+      try (Socket resumed = cluster.connect("n2")) {
+        send(resumed, "id: again-%s\r\nresumes: %s\r\nlast: 1".formatted(id, id));
+        return readUntil(resumed, "0\r\n\r\n").contains("data: b");
+      }
+    }
+
+    private void send(Socket socket, String headers) throws IOException {
+      socket.setSoTimeout(2_000);
+      String text = "POST /p/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n" + headers;
+      socket.getOutputStream().write((text + "\r\n\r\n").getBytes(StandardCharsets.UTF_8));
+    }
+
+    private String readUntil(Socket socket, String end) throws IOException {
+      StringBuilder received = new StringBuilder();
+      int next = socket.getInputStream().read();
+      while (next >= 0) {
+        received.append((char) next);
+        if (received.indexOf(end) >= 0) {
+          break;
+        }
+        next = socket.getInputStream().read();
+      }
+      return received.toString();
+    }
+  }
+
+  /** Breaks off each stream after its first event, and completes each stream that is resumed. */
+  private static String response(String head) {
+    return isResumed(head) ? REST : TRUNCATED;
+  }
+
+  private static StubServer server(String id, String version) throws IOException {
+    return new StubServer(id, StreamVersionTest::response, ConnectionAction.CLOSE)
+        .withSoftwareVersion(version);
+  }
+
+  private static void configure(TestGateway gateway, StubServer... servers) {
+    gateway.configure(TestGateway.route(RequestKind.STREAMING, true), Optional.empty(), servers);
+  }
+
+  /** Returns the resumed streams that a server of another version began. */
+  private static List<String> streamsOverTwoVersions(StubServer... servers) {
+    return Arrays.stream(servers)
+        .flatMap(server -> server.requestHeads().stream().filter(StreamVersionTest::isResumed))
+        .map(StreamVersionTest::streamId)
+        .filter(id -> versions(id, servers) > 1)
+        .toList();
+  }
+
+  private static long versions(String streamId, StubServer... servers) {
+    return Arrays.stream(servers)
+        .filter(
+            server -> server.requestHeads().stream().anyMatch(h -> streamId(h).equals(streamId)))
+        .map(server -> server.entry("s").softwareVersion())
+        .distinct()
+        .count();
+  }
+
+  private static boolean isResumed(String head) {
+    return !StubServer.header(head, "last").isEmpty();
+  }
+
+  private static String streamId(String head) {
+    String resumes = StubServer.header(head, "resumes");
+    return resumes.isEmpty() ? StubServer.header(head, "id") : resumes;
+  }
+}
--- /dev/null
+++ b/node/src/test/java/io/nutmegseam/node/gateway/TestCluster.java
@@ -0,0 +1,131 @@
+package io.nutmegseam.node.gateway;
+
+import static java.nio.charset.StandardCharsets.US_ASCII;
+import static org.awaitility.Awaitility.await;
+
+import io.nutmegseam.core.fleet.Inventory;
+import io.nutmegseam.core.fleet.ServerEntry;
+import io.nutmegseam.core.gateway.GatewayConfig;
+import io.nutmegseam.core.gateway.GatewayLimits;
+import io.nutmegseam.core.gateway.RequestKind;
+import io.nutmegseam.core.gateway.ServiceSpec;
+import io.nutmegseam.core.orders.ModelOrder;
+import io.nutmegseam.core.orders.OrderResponse;
+import io.nutmegseam.node.settings.HostPort;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** Gateway nodes on loopback with one store and the route of {@link TestGateway}. */
+final class TestCluster implements AutoCloseable {
+  private static final String LOOPBACK = "127.0.0.1";
+  private static final String CONFIG_TABLE = "config";
+  private static final String CONFIG_KEY = "current";
+  private static final String SERVER_TABLE = "servers";
+
+  private final TestRowStore store = new TestRowStore();
+  private final Map<String, ServerEntry> entryById = new ConcurrentHashMap<>();
+  private final Map<String, GatewayDaemon> daemonByNode = new HashMap<>();
+  private final Map<String, HostPort> callerAddressByNode = new HashMap<>();
+
+  TestCluster(StubServer... servers) {
+    store.put(CONFIG_TABLE, CONFIG_KEY, "{}");
+    for (StubServer server : servers) {
+      ServerEntry entry = server.entry("s");
+      entryById.put(entry.incarnation().id(), entry);
+      store.put(SERVER_TABLE, entry.incarnation().id(), "{}");
+    }
+  }
+
+  /** Starts a node of the data centre dc, and waits until it is ready. */
+  TestCluster start(String node) throws IOException {
+    HostPort readyAddress = freeAddress();
+    HostPort callerAddress = freeAddress();
+    GatewaySettings settings =
+        new GatewaySettings(
+            node,
+            "dc",
+            callerAddress,
+            readyAddress,
+            freeAddress(),
+            freeAddress(),
+            new HostPort(LOOPBACK, 1),
+            1_000,
+            0,
+            0.2,
+            50,
+            10_000,
+            5_000,
+            4,
+            1);
+    GatewayDaemon daemon =
+        new GatewayDaemon(
+            settings,
+            TestGateway.HEADERS,
+            httpClient -> new GatewayDaemon.Platform(store, decoders(), new NoOrders()));
+    daemon.start();
+    daemonByNode.put(node, daemon);
+    callerAddressByNode.put(node, callerAddress);
+    await().until(() -> isReady(readyAddress));
+    return this;
+  }
+
+  /** Opens a caller's connection to a node. */
+  Socket connect(String node) throws IOException {
+    HostPort address = callerAddressByNode.get(node);
+    return new Socket(address.host(), address.port());
+  }
+
+  @Override
+  public void close() {
+    daemonByNode.values().forEach(GatewayDaemon::stop);
+  }
+
+  private RowDecoders decoders() {
+    GatewayConfig config =
+        new GatewayConfig(
+            1,
+            List.of(TestGateway.route(RequestKind.STREAMING, true)),
+            Map.of("s", new ServiceSpec("s", 10, Optional.empty())),
+            new GatewayLimits(8_192, 8_192, 1_000, 5_000));
+    return new RowDecoders(
+        CONFIG_TABLE, CONFIG_KEY, SERVER_TABLE, row -> config, row -> entryById.get(row.key()));
+  }
+
+  private static boolean isReady(HostPort address) {
+    try (Socket socket = new Socket(address.host(), address.port())) {
+      socket.getOutputStream().write("GET / HTTP/1.0\r\n\r\n".getBytes(US_ASCII));
+      byte[] head = socket.getInputStream().readNBytes("HTTP/1.1 200".length());
+      return new String(head, US_ASCII).endsWith("200");
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  private static HostPort freeAddress() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return new HostPort(LOOPBACK, socket.getLocalPort());
+    }
+  }
+
+  /** The servers of the tests take no orders. */
+  private static final class NoOrders implements ServerOrders {
+    @Override
+    public CompletableFuture<OrderResponse> send(
+        ServerEntry server, ModelOrder order, OrderMetadata metadata) {
+      return TestRowStore.noServer();
+    }
+
+    @Override
+    public CompletableFuture<Inventory> fetchInventory(ServerEntry server) {
+      return TestRowStore.noServer();
+    }
+  }
+}
--- /dev/null
+++ b/node/src/test/java/io/nutmegseam/node/gateway/TestRowStore.java
@@ -0,0 +1,62 @@
+package io.nutmegseam.node.gateway;
+
+import io.nutmegseam.core.platform.Row;
+import io.nutmegseam.node.rows.CallException;
+import io.nutmegseam.node.rows.RowStore;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** A store of rows in memory. Thread-safe. */
+final class TestRowStore implements RowStore {
+  private final Map<String, Map<String, Row>> rowsByTable = new HashMap<>();
+  private long version = 1;
+
+  /** Sets the value of a row. */
+  synchronized void put(String table, String key, String value) {
+    version++;
+    table(table).put(key, new Row(key, value, version));
+  }
+
+  @Override
+  public synchronized CompletableFuture<ReadResult> readAll(String table) {
+    List<Row> rows = List.copyOf(table(table).values());
+    return CompletableFuture.completedFuture(new ReadResult(rows, List.of(), version));
+  }
+
+  @Override
+  public synchronized CompletableFuture<Optional<ReadResult>> readChanges(
+      String table, long afterVersion, long waitMillis) {
+    List<Row> rows =
+        table(table).values().stream().filter(row -> row.version() > afterVersion).toList();
+    ReadResult changes = new ReadResult(rows, List.of(), version);
+    return CompletableFuture.completedFuture(Optional.of(changes));
+  }
+
+  @Override
+  public synchronized CompletableFuture<Optional<Row>> get(String table, String key) {
+    return CompletableFuture.completedFuture(Optional.ofNullable(table(table).get(key)));
+  }
+
+  @Override
+  public synchronized CompletableFuture<Optional<Long>> write(
+      String table, String key, long expectedVersion, String value) {
+    Row row = table(table).get(key);
+    if ((row == null ? 0 : row.version()) != expectedVersion) {
+      return CompletableFuture.completedFuture(Optional.empty());
+    }
+    put(table, key, value);
+    return CompletableFuture.completedFuture(Optional.of(version));
+  }
+
+  /** Returns the failure of a call to a server that does not exist. */
+  static <T> CompletableFuture<T> noServer() {
+    return CompletableFuture.failedFuture(new CallException("no such server", false));
+  }
+
+  private Map<String, Row> table(String name) {
+    return rowsByTable.computeIfAbsent(name, table -> new HashMap<>());
+  }
+}
