Let a stream that a caller takes up go on only at the version that began it

Cause: the header that names the first request of a stream was not read, and what a node knew of a stream ended with the request. The request was sent to any server. Ruled out: a choice of the same version by chance in the tests; 20 streams each. Change: a node records where a stream begins (service and software version) and sends this to three nodes of its data centre and one in each of two others, collected over 20 ms, unless the service has had one version only for as long as a stream can last. A node at which a stream is taken up asks those nodes. If nobody knows the origin, it follows from the only version that all of them have seen, if one has observed the servers all the time. Otherwise the request is refused with a new kind of error (stream-origin-unknown, 503, did not run) and Retry-After; nothing is guessed. The stream goes on at the service that began it too, if its route still leads there. Weighed: the version as a function of the request's id (wrong once servers come and go), every origin to every node (92 KB/s a node at the target), origins in the store (7,700 writes a second), asking without sharing (a killed node takes its origins along).

--- a/core/src/main/java/io/nutmegseam/core/error/ErrorKind.java
+++ b/core/src/main/java/io/nutmegseam/core/error/ErrorKind.java
@@ -44,6 +44,8 @@
   NO_BACKEND_SERVER(503, RanStatus.NO, RetryAdvice.LATER),
   /** The request did not run: it was not sent, or the backend server refused it. */
   BACKEND_REFUSED(503, RanStatus.NO, RetryAdvice.LATER),
+  /** The version of the software that began the stream is unknown, and several are in use. */
+  STREAM_ORIGIN_UNKNOWN(503, RanStatus.NO, RetryAdvice.LATER),
   /** The platform's table service did not confirm a claim, a record change or a read. */
   PLATFORM_UNAVAILABLE(503, RanStatus.NO, RetryAdvice.LATER),
   /** The node is not ready, has no configuration yet, or is shutting down. */
--- a/core/src/main/java/io/nutmegseam/core/fleet/Fleet.java
+++ b/core/src/main/java/io/nutmegseam/core/fleet/Fleet.java
@@ -2,10 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /** The backend servers that are known at one time, by id. Immutable. */
 public final class Fleet {
@@ -14,6 +17,7 @@
 
   private final Map<String, ServerEntry> entryById;
   private final Map<String, List<ServerEntry>> entriesByService = new HashMap<>();
+  private final Map<String, Set<String>> versionsByService = new HashMap<>();
 
   /**
    * Creates a fleet.
@@ -24,6 +28,9 @@
     this.entryById = Map.copyOf(entryById);
     for (ServerEntry entry : this.entryById.values()) {
       entriesByService.computeIfAbsent(entry.service(), s -> new ArrayList<>()).add(entry);
+      versionsByService
+          .computeIfAbsent(entry.service(), s -> new HashSet<>())
+          .add(entry.softwareVersion());
     }
   }
 
@@ -43,6 +50,11 @@
     return entriesByService.getOrDefault(service, List.of());
   }
 
+  /** Returns the software versions of the servers of each service, draining ones included. */
+  public Map<String, Set<String>> versionsByService() {
+    return Collections.unmodifiableMap(versionsByService);
+  }
+
   /** Returns the entries of all servers. */
   public Collection<ServerEntry> entries() {
     return entryById.values();
--- a/core/src/main/java/io/nutmegseam/core/gateway/GatewayConfig.java
+++ b/core/src/main/java/io/nutmegseam/core/gateway/GatewayConfig.java
@@ -11,6 +11,7 @@
   private final Map<String, Route> routeByHostAndPrefix = new HashMap<>();
   private final Map<String, ServiceSpec> services;
   private final GatewayLimits limits;
+  private final long longestStreamMillis;
 
   /**
    * Creates a configuration.
@@ -25,6 +26,12 @@
     this.version = version;
     this.services = Map.copyOf(services);
     this.limits = limits;
+    this.longestStreamMillis =
+        routes.stream()
+            .filter(Route::hasResumableStreams)
+            .mapToLong(Route::timeoutMillis)
+            .max()
+            .orElse(0);
     for (Route route : routes) {
       routeByHostAndPrefix.put(key(route.host(), route.pathPrefix()), route);
     }
@@ -40,6 +47,11 @@
     return limits;
   }
 
+  /** Returns the longest timeout of a route with resumable streams, in milliseconds. */
+  public long longestStreamMillis() {
+    return longestStreamMillis;
+  }
+
   /** Returns the number of routes. */
   public int routeCount() {
     return routeByHostAndPrefix.size();
--- a/core/src/main/java/io/nutmegseam/core/gateway/Route.java
+++ b/core/src/main/java/io/nutmegseam/core/gateway/Route.java
@@ -34,7 +34,17 @@
     List<ServiceShare> shares) {
   /** Returns whether a request that may have run can be sent to another server. */
   public boolean isRetryable() {
-    return kind == RequestKind.IDEMPOTENT || (kind == RequestKind.STREAMING && resumable);
+    return kind == RequestKind.IDEMPOTENT || hasResumableStreams();
+  }
+
+  /** Returns whether another server can go on with a stream of this route. */
+  public boolean hasResumableStreams() {
+    return kind == RequestKind.STREAMING && resumable;
+  }
+
+  /** Returns whether requests are sent to a service. */
+  public boolean leadsTo(String service) {
+    return shares.stream().anyMatch(s -> s.service().equals(service) && s.weight() > 0);
   }
 
   /**
--- a/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
@@ -2,12 +2,13 @@
 
 import com.google.protobuf.ByteString;
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.nutmegseam.core.error.RanStatus;
 import io.nutmegseam.core.error.RequestException;
 import io.nutmegseam.core.fleet.ServerEntry;
+import io.nutmegseam.core.fleet.StreamOrigin;
 import io.nutmegseam.core.gateway.RequestKind;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
@@ -33,9 +34,11 @@
   private final Runnable onDone;
   private final String id;
   private final RequestLog log;
+  private final RequestForwarder forwarder;
   private final FirstByteTimer firstByteTimer;
   private RequestPlan plan;
   private ServerSelection selection;
+  private Optional<StreamResumption> resumption = Optional.empty();
   private ScheduledFuture<?> deadlineTimer;
   private ModelWaitQueue.Key waitKey;
   private Attempt attempt;
@@ -60,6 +63,7 @@
     this.onDone = onDone;
     this.id = request.headers().get(context.headers().requestId(), "");
     this.log = RequestLog.of(context, id, request.arrivedMillis());
+    this.forwarder = new RequestForwarder(context, request, id);
     this.firstByteTimer = new FirstByteTimer(context.loop(), this::onFirstByteTimeout);
   }
 
@@ -71,7 +75,7 @@
               request,
               context.state(),
               context.headers(),
-              ThreadLocalRandom.current().nextDouble());
+              route -> route.chooseService(ThreadLocalRandom.current().nextDouble()));
     } catch (RequestException e) {
       refuse(e);
       return;
@@ -88,15 +92,21 @@
       context.arrivals().onArrival(plan.modelKey());
     }
     context.retries().onNewRequest(plan.service());
-    logResumption();
-    dispatch();
+    resumption = StreamResumption.of(request.headers(), context.headers(), plan.route());
+    if (resumption.isPresent()) {
+      new StreamTakeover(context, request, log)
+          .start(plan, resumption.get(), this::onTakeover, this::refuse);
+    } else {
+      dispatch();
+    }
   }
 
-  private void logResumption() {
-    String firstRequestId = request.headers().get(context.headers().resumes(), "");
-    String lastEventId = request.headers().get(context.headers().lastEventId(), "");
-    if (!firstRequestId.isEmpty() || !lastEventId.isEmpty()) {
-      log.onResumes(firstRequestId, lastEventId);
+  private void onTakeover(StreamTakeover.Target target) {
+    if (!done) {
+      plan = target.plan();
+      selection = new ServerSelection(context, plan);
+      selection.requireSoftwareVersion(target.softwareVersion());
+      dispatch();
     }
   }
 
@@ -163,18 +173,9 @@
 
   /** Queues the request until its model is loaded; refuses it if that is expected too late. */
   private void waitForModel() {
-    Long readyAtMillis =
-        context.state().expectedLoadTimes().readyAtMillisByModel().get(plan.ref().orElseThrow());
-    long nowMillis = context.clock().millis();
-    boolean tooLate = readyAtMillis != null && readyAtMillis > plan.waitUntilMillis();
-    if (nowMillis > plan.waitUntilMillis() || tooLate) {
-      long expectedMillis = tooLate ? readyAtMillis - nowMillis : 0;
-      refuse(
-          orBackendLost(
-              GatewayErrors.modelNotInTime(
-                  plan.description(),
-                  Math.max(RetryAfter.OVERLOAD_MILLIS, expectedMillis),
-                  plan.waitUntilMillis() - nowMillis)));
+    Optional<RequestException> tooLate = selection.findModelDelay(context.clock().millis());
+    if (tooLate.isPresent()) {
+      refuse(orBackendLost(tooLate.get()));
       return;
     }
     if (waitKey == null) {
@@ -238,9 +239,11 @@
   }
 
   private void refuse(RequestException error) {
-    log.onRefused(error);
-    writer.writeError(error);
-    finish(error.kind().wireName());
+    if (!done) {
+      log.onRefused(error);
+      writer.writeError(error);
+      finish(error.kind().wireName());
+    }
   }
 
   /** Replaces an error that reports "not run" if an earlier attempt may have run. */
@@ -287,17 +290,7 @@
   @Override
   public ServerConnection.OutboundRequest outboundRequest(ServerEntry server) {
     log.onDispatched(plan, server);
-    HttpHeaders headers =
-        ForwardedHeaders.toServer(
-            request.headers(),
-            context.headers(),
-            new ForwardedHeaders.HeaderValues(
-                Math.max(1, plan.deadlineMillis() - context.clock().millis()),
-                server.incarnation().id(),
-                plan.route().kind() == RequestKind.STREAMING ? plan.route().priority() : -1));
-    relay.lastEventId().ifPresent(last -> headers.set(context.headers().lastEventId(), last));
-    return new ServerConnection.OutboundRequest(
-        request.method(), request.target(), headers, request.body(), id);
+    return forwarder.outboundRequest(plan, server, relay.lastEventId());
   }
 
   @Override
@@ -313,11 +306,24 @@
     mayHaveRun = true;
     if (!relay.isStarted()) {
       context.metrics().onFirstByte(log.ageMillis());
-      selection.requireSoftwareVersion(attempt.server().softwareVersion());
+      onResponseBegun(head, attempt.server());
     }
     relay.onHead(head, plan.route());
   }
 
+  /** Binds the response to the software version of its first server. */
+  private void onResponseBegun(HttpResponse head, ServerEntry server) {
+    selection.requireSoftwareVersion(server.softwareVersion());
+    boolean success = head.status().codeClass() == HttpStatusClass.SUCCESS;
+    if (success && plan.route().hasResumableStreams()) {
+      context
+          .origins()
+          .onBegun(
+              resumption.map(StreamResumption::firstRequest).orElse(id),
+              new StreamOrigin(plan.service(), server.softwareVersion()));
+    }
+  }
+
   @Override
   public boolean onContent(ByteBuf content) {
     boolean canGoOn = relay.onContent(content);
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
@@ -9,7 +9,6 @@
 import io.nutmegseam.core.fleet.Inventory;
 import io.nutmegseam.core.fleet.ModelRef;
 import io.nutmegseam.core.orders.OrderLease;
-import io.nutmegseam.core.orders.OrderLeaseRow;
 import io.nutmegseam.core.orders.StoreLoadLimiter;
 import io.nutmegseam.node.control.ControlThread;
 import io.nutmegseam.node.control.MonotonicClock;
@@ -19,13 +18,11 @@
 import io.nutmegseam.node.peer.PeerTlsContexts;
 import io.nutmegseam.node.peer.PeerTrafficCounter;
 import io.nutmegseam.node.peer.generated.FleetNews;
-import io.nutmegseam.node.peer.generated.Heartbeat;
 import io.nutmegseam.node.peer.generated.PeerFrame;
 import io.nutmegseam.node.rows.NodeDirectory;
 import io.nutmegseam.node.rows.NodeRecord;
 import io.nutmegseam.node.rows.RowStore;
 import io.nutmegseam.node.rows.TableWatcher;
-import io.nutmegseam.node.settings.HostPort;
 import io.nutmegseam.node.settings.NodeSettings;
 import java.time.Clock;
 import java.util.Map;
@@ -33,6 +30,7 @@
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
 /** A gateway node: creates its components, starts them and stops them gracefully. */
@@ -94,6 +92,7 @@
   private final EventLoop loop = group.next();
   private final TrafficContext traffic;
   private final PeerNetwork network;
+  private final PeerConnections connections;
   private final DemandAggregator demand = new DemandAggregator(clock);
   private final FleetUpdateBuilder fleetUpdates = new FleetUpdateBuilder(clock);
   private final DemandReporter demandReporter;
@@ -123,16 +122,22 @@
     this.thread = new ControlThread(events);
     ServerConnectionPools pools = new ServerConnectionPools(loop, headers.requestId(), clock);
     ModelWaitQueue waitQueue = new ModelWaitQueue(this::reportDemandSoon);
+    this.network = createNetwork();
     this.traffic = createTrafficContext(headers, pools, waitQueue);
     this.demandReporter =
         new DemandReporter(
             thread, loop, traffic.arrivals(), waitQueue, traffic.loads(), clock, this::sendReport);
     Platform adapters = platform.apply(new BufferedHttpClient(loop, pools, clock));
-    this.network = createNetwork();
     this.fleet =
         new FleetControl(
             state, adapters.decoders(), clock, events, () -> loop.execute(waitQueue::retryAll));
     NodeDirectory directory = createDirectory();
+    this.connections =
+        new PeerConnections(
+            settings.node(),
+            directory,
+            network,
+            keepers -> loop.execute(() -> traffic.origins().setKeepers(keepers)));
     this.lease = createLease(adapters.rows(), directory);
     this.store =
         new StoreWatcher(
@@ -168,6 +173,11 @@
             ASSUMED_NODES,
             clock),
         waitQueue,
+        new StreamOrigins(
+            clock,
+            state,
+            network,
+            (delayMillis, task) -> loop.schedule(task, delayMillis, TimeUnit.MILLISECONDS)),
         new ArrivalCounts(),
         events,
         metrics);
@@ -179,7 +189,7 @@
         new PeerNetwork.Limits(PEER_FRAME_BYTES, PEER_IDLE_TIMEOUT_SECONDS),
         hybridClock,
         events,
-        (node, frame) -> thread.execute(() -> onFrame(node, frame)),
+        this::dispatchFrame,
         new PeerTlsContexts(new NodeSettings.PeerTls("", "", "")),
         new PeerTrafficCounter());
   }
@@ -248,7 +258,7 @@
     server.listen(settings.callerAddress());
     thread.schedulePeriodically(TICK_INTERVAL_MILLIS, this::tick);
     thread.schedulePeriodically(DEMAND_INTERVAL_MILLIS, demandReporter::report);
-    thread.schedulePeriodically(HEARTBEAT_INTERVAL_MILLIS, this::heartbeat);
+    thread.schedulePeriodically(HEARTBEAT_INTERVAL_MILLIS, connections::refresh);
     events.record(EventKind.NODE_READY, settings.node(), "listening");
   }
 
@@ -305,24 +315,13 @@
   private void tick() {
     store.tick();
     lease.tick(store.ownTableAgeMillis());
-    lease.row().ifPresent(this::connectToHolder);
+    lease.row().ifPresent(connections::connectToHolder);
     fleet.publishIfDue();
+    state.setVersions(
+        state.versions().observe(state.fleet(), clock.millis() - store.serversAgeMillis()));
     orders.tick();
   }
 
-  private void heartbeat() {
-    for (String peer : network.connectedNodes()) {
-      network.send(peer, PeerFrame.newBuilder().setHeartbeat(Heartbeat.getDefaultInstance()));
-    }
-  }
-
-  private void connectToHolder(OrderLeaseRow row) {
-    boolean heldByOther = !row.node().isEmpty() && !row.node().equals(settings.node());
-    if (heldByOther && !row.released() && !network.connectedNodes().contains(row.node())) {
-      HostPort.parse(row.peerAddress()).ifPresent(network::connect);
-    }
-  }
-
   private void reportDemandSoon() {
     demandReporter.reportSoon();
   }
@@ -340,6 +339,17 @@
                         .setFleetDemand(FleetCodec.encode(report, clock.millis()))));
   }
 
+  /**
+   * Handles the messages about streams on the traffic thread, and all others on the control one.
+   */
+  private void dispatchFrame(String node, PeerFrame frame) {
+    if (StreamOrigins.accepts(frame)) {
+      loop.execute(() -> traffic.origins().onFrame(node, frame));
+    } else {
+      thread.execute(() -> onFrame(node, frame));
+    }
+  }
+
   private void onFrame(String node, PeerFrame frame) {
     if (frame.hasFleetDemand()) {
       demand.onReport(node, FleetCodec.decode(frame.getFleetDemand(), clock.millis()));
@@ -366,9 +376,7 @@
         .nextUpdate(snapshot)
         .ifPresent(
             update -> {
-              for (String peer : network.connectedNodes()) {
-                network.send(peer, PeerFrame.newBuilder().setFleetNews(update));
-              }
+              connections.sendToAll(PeerFrame.newBuilder().setFleetNews(update));
               applyFleetUpdate(inventories, readyAtMillis, update);
             });
   }
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayErrors.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayErrors.java
@@ -56,6 +56,26 @@
         retryAfterMillis);
   }
 
+  /** Returns the error for a stream that must go on at a software version that is not known. */
+  static RequestException originUnknown(
+      String description, StreamResumption resumption, long retryAfterMillis) {
+    return new RequestException(
+        ErrorKind.STREAM_ORIGIN_UNKNOWN,
+        "%s: the software version that began the stream of request \"%s\" is not known"
+            .formatted(description, resumption.firstRequest()),
+        retryAfterMillis);
+  }
+
+  /** Returns the error for a stream of a service to which its route no longer leads. */
+  static RequestException originNotRouted(
+      String description, String service, long retryAfterMillis) {
+    return new RequestException(
+        ErrorKind.NO_BACKEND_SERVER,
+        "%s: the stream began at service %s, to which the route does not lead"
+            .formatted(description, service),
+        retryAfterMillis);
+  }
+
   /** Returns the error for a request whose model is not expected to be loaded in time. */
   static RequestException modelNotInTime(
       String description, long expectedMillis, long remainingMillis) {
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayMetrics.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayMetrics.java
@@ -22,6 +22,8 @@
   private final Counter retried = counter("retries", "Requests sent once more", "cause");
   private final Counter responses =
       counter("responses", "Forwarded responses by how their end is marked", "framing");
+  private final Counter resumptions =
+      counter("stream_resumptions", "Streams that callers take up", "origin");
   private final Counter calls = counter("calls", "Calls to the platform and orders", "call");
   private final Histogram firstByte = histogram("first_byte", "Time to the head of an answer");
   private final Histogram modelWait =
@@ -38,6 +40,11 @@
     responses.labelValues(framing.label()).inc();
   }
 
+  /** Counts a stream that a caller takes up, by whether its origin is known. */
+  void onStreamResumed(boolean originKnown) {
+    resumptions.labelValues(originKnown ? "known" : "unknown").inc();
+  }
+
   /** Counts a retry of a request. */
   void onRetried(String cause) {
     retried.labelValues(cause).inc();
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayState.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayState.java
@@ -1,6 +1,7 @@
 package io.nutmegseam.node.gateway;
 
 import io.nutmegseam.core.fleet.Fleet;
+import io.nutmegseam.core.fleet.VersionHistory;
 import io.nutmegseam.core.gateway.GatewayConfig;
 import java.util.Optional;
 
@@ -8,6 +9,7 @@
 public final class GatewayState {
   private volatile GatewayConfig config;
   private volatile Fleet fleet = Fleet.EMPTY;
+  private volatile VersionHistory versions = VersionHistory.EMPTY;
   private volatile ExpectedLoadTimes expectedLoadTimes = ExpectedLoadTimes.NONE;
   private volatile boolean fleetPublished;
   private volatile boolean stopping;
@@ -24,6 +26,11 @@
     fleetPublished = true;
   }
 
+  /** Publishes the software versions that the servers had. */
+  void setVersions(VersionHistory next) {
+    versions = next;
+  }
+
   /** Publishes the expected load times of models. */
   void setExpectedLoadTimes(ExpectedLoadTimes next) {
     expectedLoadTimes = next;
@@ -54,6 +61,11 @@
     return fleet;
   }
 
+  /** Returns the software versions that the servers had. */
+  VersionHistory versions() {
+    return versions;
+  }
+
   /** Returns the expected load times of models. */
   ExpectedLoadTimes expectedLoadTimes() {
     return expectedLoadTimes;
--- /dev/null
+++ b/node/src/main/java/io/nutmegseam/node/gateway/RequestForwarder.java
@@ -0,0 +1,53 @@
+package io.nutmegseam.node.gateway;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.nutmegseam.core.fleet.ServerEntry;
+import io.nutmegseam.core.gateway.RequestKind;
+import java.util.Optional;
+
+/** Creates the requests that are sent to servers on behalf of one request of a caller. */
+final class RequestForwarder {
+  private static final int NO_PRIORITY = -1;
+
+  private final TrafficContext context;
+  private final InboundRequest request;
+  private final String requestId;
+
+  /**
+   * Creates a forwarder.
+   *
+   * @param context dependencies shared by all requests
+   * @param request request of the caller
+   * @param requestId id of the request, which servers echo
+   */
+  RequestForwarder(TrafficContext context, InboundRequest request, String requestId) {
+    this.context = context;
+    this.request = request;
+    this.requestId = requestId;
+  }
+
+  /**
+   * Returns the request to a server.
+   *
+   * @param plan routing decision for the request
+   * @param server the server
+   * @param lastEventId id of the last event that was forwarded to the caller; empty if the server
+   *     begins the response
+   */
+  ServerConnection.OutboundRequest outboundRequest(
+      RequestPlan plan, ServerEntry server, Optional<String> lastEventId) {
+    HttpHeaders headers =
+        ForwardedHeaders.toServer(
+            request.headers(),
+            context.headers(),
+            new ForwardedHeaders.HeaderValues(
+                Math.max(1, plan.deadlineMillis() - context.clock().millis()),
+                server.incarnation().id(),
+                plan.route().kind() == RequestKind.STREAMING
+                    ? plan.route().priority()
+                    : NO_PRIORITY));
+    lastEventId.ifPresent(last -> headers.set(context.headers().lastEventId(), last));
+    return new ServerConnection.OutboundRequest(
+        request.method(), request.target(), headers, request.body(), requestId);
+  }
+}
--- a/node/src/main/java/io/nutmegseam/node/gateway/RequestLog.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/RequestLog.java
@@ -35,11 +35,20 @@
             .formatted(plan.description(), server.incarnation(), server.softwareVersion()));
   }
 
-  /** Logs that the request takes up a stream. */
-  void onResumes(String firstRequestId, String lastEventId) {
+  /** Logs that the request takes up a stream, and what is known of its origin. */
+  void onResumes(StreamResumption resumption, StreamOrigins.Finding finding) {
+    metrics.onStreamResumed(finding.origin().isPresent());
     record(
         EventKind.REQUEST_RESUMES,
-        "stream of request \"%s\" after event \"%s\"".formatted(firstRequestId, lastEventId));
+        "stream of request \"%s\" after event \"%s\", origin %s by %s"
+            .formatted(
+                resumption.firstRequest(),
+                resumption.lastEventId(),
+                finding
+                    .origin()
+                    .map(origin -> origin.service() + " " + origin.softwareVersion())
+                    .orElse("unknown"),
+                finding.source()));
   }
 
   /** Logs a complete response. */
--- a/node/src/main/java/io/nutmegseam/node/gateway/RequestPlan.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/RequestPlan.java
@@ -6,6 +6,7 @@
 import io.nutmegseam.core.gateway.Route;
 import io.nutmegseam.core.gateway.ServiceSpec;
 import java.util.Optional;
+import java.util.function.Function;
 
 /**
  * Routing decision for a request, with its time limits.
@@ -45,13 +46,15 @@
    * @param request the request
    * @param state published state of the node
    * @param names names of the platform's headers
-   * @param draw random number from 0 (inclusive) to 1 (exclusive) that selects a service of the
-   *     route
+   * @param serviceChoice chooses a service of the route
    * @throws RequestException if the node has no configuration, no route matches, or the deadline
    *     header is invalid
    */
   static RequestPlan of(
-      InboundRequest request, GatewayState state, GatewayHeaders names, double draw)
+      InboundRequest request,
+      GatewayState state,
+      GatewayHeaders names,
+      Function<Route, String> serviceChoice)
       throws RequestException {
     GatewayConfig config =
         state.config().orElseThrow(() -> GatewayErrors.notReady(STARTED_RETRY_AFTER_MILLIS));
@@ -59,7 +62,7 @@
         config
             .route(request.host(), request.path())
             .orElseThrow(() -> GatewayErrors.noRoute(request, config.version()));
-    String service = route.chooseService(draw);
+    String service = serviceChoice.apply(route);
     long deadlineMillis = request.arrivedMillis() + remainingMillis(request, names, route);
     long idleDeadlineMillis = request.arrivedMillis() + route.callerIdleTimeoutMillis();
     return new RequestPlan(
--- a/node/src/main/java/io/nutmegseam/node/gateway/ResponseRelay.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/ResponseRelay.java
@@ -50,7 +50,7 @@
     }
     started = true;
     HttpHeaders headers = ForwardedHeaders.toCaller(head.headers());
-    resumable = route.kind() == RequestKind.STREAMING && route.resumable();
+    resumable = route.hasResumableStreams();
     if (isEventStream(head, route)) {
       assembler = new SseEventAssembler(ByteBufAllocator.DEFAULT, writer::writeContent);
       // The length of one server's stream is not that of a resumed one.
--- a/node/src/main/java/io/nutmegseam/node/gateway/ServerSelection.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/ServerSelection.java
@@ -1,5 +1,6 @@
 package io.nutmegseam.node.gateway;
 
+import io.nutmegseam.core.error.RequestException;
 import io.nutmegseam.core.fleet.ServerEntry;
 import io.nutmegseam.core.gateway.RequestKind;
 import java.util.HashSet;
@@ -51,6 +52,25 @@
             .isEmpty();
   }
 
+  /**
+   * Returns the error for a request whose model is expected too late, or empty if the request can
+   * wait for it.
+   */
+  Optional<RequestException> findModelDelay(long nowMillis) {
+    Long readyAtMillis =
+        context.state().expectedLoadTimes().readyAtMillisByModel().get(plan.ref().orElseThrow());
+    boolean tooLate = readyAtMillis != null && readyAtMillis > plan.waitUntilMillis();
+    if (!tooLate && nowMillis <= plan.waitUntilMillis()) {
+      return Optional.empty();
+    }
+    long expectedMillis = tooLate ? readyAtMillis - nowMillis : 0;
+    return Optional.of(
+        GatewayErrors.modelNotInTime(
+            plan.description(),
+            Math.max(RetryAfter.OVERLOAD_MILLIS, expectedMillis),
+            plan.waitUntilMillis() - nowMillis));
+  }
+
   /**
    * Returns whether requests already wait at a server for longer than the target latency. Accepting
    * more requests than servers can handle in time would make all of them late.
--- /dev/null
+++ b/node/src/main/java/io/nutmegseam/node/gateway/StreamOrigins.java
@@ -0,0 +1,343 @@
+package io.nutmegseam.node.gateway;
+
+import io.nutmegseam.core.fleet.StreamOrigin;
+import io.nutmegseam.core.gateway.GatewayConfig;
+import io.nutmegseam.node.peer.PeerTransport;
+import io.nutmegseam.node.peer.generated.PeerFrame;
+import io.nutmegseam.node.peer.generated.StreamOriginAnswer;
+import io.nutmegseam.node.peer.generated.StreamOriginAsk;
+import io.nutmegseam.node.peer.generated.StreamOriginGroup;
+import io.nutmegseam.node.peer.generated.StreamOriginNews;
+import java.time.InstantSource;
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * Knows at which software version streams began, so that they go on at no other one when a caller
+ * takes them up at any node. The node at which a stream begins sends its origin to a few other
+ * nodes, unless the service has had one version only; a node that does not know the origin of a
+ * stream asks them. Confined to the traffic thread.
+ */
+final class StreamOrigins {
+  /** Time for which new origins are collected into one message. */
+  private static final long SHARE_DELAY_MILLIS = 20;
+
+  /** Number of nodes of the data centre to which an origin is sent. */
+  private static final int LOCAL_COPIES = 3;
+
+  /** Longest wait for the answers of other nodes. */
+  private static final long ASK_TIMEOUT_MILLIS = 150;
+
+  /** Other nodes are asked once more after this time, since an origin may be on its way. */
+  private static final long ASK_AGAIN_MILLIS = 40;
+
+  private static final long MIN_RETENTION_MILLIS = 15_000;
+
+  /** Callers may take a stream up until their own time limit, which can exceed the route's. */
+  private static final long RETENTION_PER_TIMEOUT = 2;
+
+  private static final int MAX_ID_LENGTH = 128;
+  private static final int MAX_UNSHARED = 10_000;
+  private static final int MAX_LOOKUPS = 1_000;
+
+  private final InstantSource clock;
+  private final GatewayState state;
+  private final PeerTransport peers;
+  private final Timer timer;
+  private final StreamOriginTable table;
+  private final Deque<Unshared> unshared = new ArrayDeque<>();
+  private final Map<Long, Lookup> lookupById = new HashMap<>();
+  private Keepers keepers = new Keepers(List.of(), List.of());
+  private boolean shareScheduled;
+  private long lastLookupId;
+
+  /** Runs a task on the traffic thread after a delay. */
+  @FunctionalInterface
+  interface Timer {
+    /** Schedules a task. */
+    void schedule(long delayMillis, Runnable task);
+  }
+
+  /**
+   * Nodes that keep the origins of this node's streams.
+   *
+   * @param local nodes of the data centre, in order of preference; these are asked as well
+   * @param remote nodes of other data centres
+   */
+  record Keepers(List<String> local, List<String> remote) {}
+
+  /**
+   * What is known of the origin of a stream.
+   *
+   * @param origin the origin; empty if it is not known, or not certain
+   * @param source what it is known from, for log lines
+   */
+  record Finding(Optional<StreamOrigin> origin, String source) {}
+
+  private record Unshared(String request, StreamOrigin origin, long expiresMillis) {}
+
+  private static final class Lookup {
+    private final String request;
+    private final String service;
+    private final Consumer<Finding> callback;
+    private final Set<String> awaited = new HashSet<>();
+    private final Set<String> recentVersions = new HashSet<>();
+    private boolean observed;
+    private boolean askedAgain;
+
+    private Lookup(String request, String service, Consumer<Finding> callback) {
+      this.request = request;
+      this.service = service;
+      this.callback = callback;
+    }
+
+    private void addVersions(Collection<String> versions, boolean completely) {
+      recentVersions.addAll(versions);
+      observed |= completely;
+    }
+
+    /** Returns the only version that any node has seen, if one of them has seen all of them. */
+    private Optional<String> soleVersion() {
+      return observed && recentVersions.size() == 1
+          ? recentVersions.stream().findFirst()
+          : Optional.empty();
+    }
+  }
+
+  /**
+   * Creates the component without known origins.
+   *
+   * @param clock monotonic clock
+   * @param state the configuration, and the versions that the servers had
+   * @param peers sends frames to other nodes
+   * @param timer runs delayed tasks on the traffic thread
+   */
+  StreamOrigins(InstantSource clock, GatewayState state, PeerTransport peers, Timer timer) {
+    this.clock = clock;
+    this.state = state;
+    this.peers = peers;
+    this.timer = timer;
+    this.table = new StreamOriginTable(clock);
+  }
+
+  /** Sets the nodes that keep the origins of this node's streams. */
+  void setKeepers(Keepers next) {
+    keepers = next;
+  }
+
+  /** Records the origin of a stream that begins or goes on at this node. */
+  void onBegun(String request, StreamOrigin origin) {
+    if (request.isEmpty() || request.length() > MAX_ID_LENGTH) {
+      return;
+    }
+    long retentionMillis = retentionMillis();
+    table.put(request, origin, retentionMillis);
+    if (unshared.size() >= MAX_UNSHARED) {
+      unshared.pollFirst();
+    }
+    unshared.addLast(new Unshared(request, origin, clock.millis() + retentionMillis));
+    if (!shareScheduled) {
+      shareScheduled = true;
+      timer.schedule(SHARE_DELAY_MILLIS, this::share);
+    }
+  }
+
+  /**
+   * Finds the origin of a stream.
+   *
+   * @param request id of the request that brought the first event; empty if it is not known
+   * @param service service to which the request that takes the stream up is routed
+   * @param callback receives the origin, at once or within a fraction of a second
+   */
+  void find(String request, String service, Consumer<Finding> callback) {
+    Optional<StreamOrigin> own = table.get(request);
+    if (own.isPresent()) {
+      callback.accept(new Finding(own, "this node"));
+      return;
+    }
+    Lookup lookup = new Lookup(request, service, callback);
+    lookup.addVersions(recentVersions(service), hasObserved());
+    if (request.isEmpty() || lookupById.size() >= MAX_LOOKUPS) {
+      finish(lookup);
+      return;
+    }
+    long id = ++lastLookupId;
+    lookupById.put(id, lookup);
+    timer.schedule(ASK_TIMEOUT_MILLIS, () -> finish(id));
+    ask(id, lookup);
+  }
+
+  /** Handles a message of another node about origins. */
+  void onFrame(String node, PeerFrame frame) {
+    if (frame.hasStreamOriginNews()) {
+      onNews(frame.getStreamOriginNews());
+    } else if (frame.hasStreamOriginAsk()) {
+      onAsk(node, frame.getStreamOriginAsk());
+    } else if (frame.hasStreamOriginAnswer()) {
+      onAnswer(node, frame.getStreamOriginAnswer());
+    }
+  }
+
+  /** Returns whether a frame is a message about origins. */
+  static boolean accepts(PeerFrame frame) {
+    return frame.hasStreamOriginNews()
+        || frame.hasStreamOriginAsk()
+        || frame.hasStreamOriginAnswer();
+  }
+
+  /**
+   * Sends the origins of services whose version is not certain. The others wait: another version
+   * may come into use while their streams last.
+   */
+  private void share() {
+    shareScheduled = false;
+    long nowMillis = clock.millis();
+    Map<StreamOrigin, StreamOriginGroup.Builder> groups = new LinkedHashMap<>();
+    Map<String, Boolean> certainByService = new HashMap<>();
+    unshared.removeIf(
+        entry -> {
+          boolean certain =
+              certainByService.computeIfAbsent(entry.origin().service(), this::hasSoleVersion);
+          if (!certain) {
+            groups
+                .computeIfAbsent(entry.origin(), StreamOrigins::groupOf)
+                .addRequests(entry.request());
+          }
+          return !certain || entry.expiresMillis() <= nowMillis;
+        });
+    if (groups.isEmpty()) {
+      return;
+    }
+    StreamOriginNews.Builder news = StreamOriginNews.newBuilder();
+    groups.values().forEach(news::addGroups);
+    Set<String> connected = peers.connectedNodes();
+    keepers.local().stream()
+        .filter(connected::contains)
+        .limit(LOCAL_COPIES)
+        .forEach(node -> peers.send(node, PeerFrame.newBuilder().setStreamOriginNews(news)));
+    keepers.remote().stream()
+        .filter(connected::contains)
+        .forEach(node -> peers.send(node, PeerFrame.newBuilder().setStreamOriginNews(news)));
+  }
+
+  private static StreamOriginGroup.Builder groupOf(StreamOrigin origin) {
+    return StreamOriginGroup.newBuilder()
+        .setService(origin.service())
+        .setSoftwareVersion(origin.softwareVersion());
+  }
+
+  private static StreamOrigin originOf(StreamOriginGroup group) {
+    return new StreamOrigin(group.getService(), group.getSoftwareVersion());
+  }
+
+  private void onNews(StreamOriginNews news) {
+    long retentionMillis = retentionMillis();
+    for (StreamOriginGroup group : news.getGroupsList()) {
+      StreamOrigin origin = originOf(group);
+      group.getRequestsList().forEach(request -> table.put(request, origin, retentionMillis));
+    }
+  }
+
+  private void ask(long id, Lookup lookup) {
+    StreamOriginAsk.Builder message =
+        StreamOriginAsk.newBuilder()
+            .setId(id)
+            .setRequest(lookup.request)
+            .setService(lookup.service);
+    Set<String> connected = peers.connectedNodes();
+    for (String node : keepers.local()) {
+      if (connected.contains(node)
+          && peers.send(node, PeerFrame.newBuilder().setStreamOriginAsk(message))) {
+        lookup.awaited.add(node);
+      }
+    }
+    if (lookup.awaited.isEmpty()) {
+      finish(id);
+    }
+  }
+
+  private void onAsk(String node, StreamOriginAsk message) {
+    StreamOriginAnswer.Builder answer = StreamOriginAnswer.newBuilder().setId(message.getId());
+    Optional<StreamOrigin> origin = table.get(message.getRequest());
+    if (origin.isPresent()) {
+      answer.setOrigin(groupOf(origin.get()));
+    } else {
+      answer.addAllRecentVersions(recentVersions(message.getService())).setObserved(hasObserved());
+    }
+    peers.send(node, PeerFrame.newBuilder().setStreamOriginAnswer(answer));
+  }
+
+  private void onAnswer(String node, StreamOriginAnswer answer) {
+    Lookup lookup = lookupById.get(answer.getId());
+    if (lookup == null) {
+      return;
+    }
+    if (answer.hasOrigin()) {
+      lookupById.remove(answer.getId());
+      StreamOrigin origin = originOf(answer.getOrigin());
+      table.put(lookup.request, origin, retentionMillis());
+      lookup.callback.accept(new Finding(Optional.of(origin), "node " + node));
+      return;
+    }
+    lookup.addVersions(answer.getRecentVersionsList(), answer.getObserved());
+    lookup.awaited.remove(node);
+    if (!lookup.awaited.isEmpty()) {
+      return;
+    }
+    if (lookup.soleVersion().isPresent() || lookup.askedAgain) {
+      finish(answer.getId());
+    } else {
+      lookup.askedAgain = true;
+      timer.schedule(ASK_AGAIN_MILLIS, () -> askAgain(answer.getId()));
+    }
+  }
+
+  private void askAgain(long id) {
+    Lookup lookup = lookupById.get(id);
+    if (lookup != null) {
+      ask(id, lookup);
+    }
+  }
+
+  private void finish(long id) {
+    Lookup lookup = lookupById.remove(id);
+    if (lookup != null) {
+      finish(lookup);
+    }
+  }
+
+  /** Ends a lookup whose origin no node knows: it is certain only if there was one version. */
+  private static void finish(Lookup lookup) {
+    Optional<StreamOrigin> origin =
+        lookup.soleVersion().map(version -> new StreamOrigin(lookup.service, version));
+    String source = origin.isPresent() ? "the only version of the service" : "no node";
+    lookup.callback.accept(new Finding(origin, source));
+  }
+
+  private boolean hasSoleVersion(String service) {
+    return hasObserved() && recentVersions(service).size() == 1;
+  }
+
+  private Set<String> recentVersions(String service) {
+    return state.versions().recentVersions(service, clock.millis(), retentionMillis());
+  }
+
+  private boolean hasObserved() {
+    return state.versions().covers(clock.millis(), retentionMillis());
+  }
+
+  /** Returns the time for which a stream may be taken up after it began, in milliseconds. */
+  private long retentionMillis() {
+    long longestMillis = state.config().map(GatewayConfig::longestStreamMillis).orElse(0L);
+    return Math.max(MIN_RETENTION_MILLIS, RETENTION_PER_TIMEOUT * longestMillis);
+  }
+}
--- /dev/null
+++ b/node/src/main/java/io/nutmegseam/node/gateway/StreamTakeover.java
@@ -0,0 +1,80 @@
+package io.nutmegseam.node.gateway;
+
+import io.nutmegseam.core.error.RequestException;
+import io.nutmegseam.core.fleet.StreamOrigin;
+import java.util.function.Consumer;
+
+/**
+ * Routes a request that takes up a stream: the stream goes on at the service and the software
+ * version that began it, or not at all. Confined to the traffic thread.
+ */
+final class StreamTakeover {
+  private final TrafficContext context;
+  private final InboundRequest request;
+  private final RequestLog log;
+
+  /**
+   * Where a stream goes on.
+   *
+   * @param plan routing decision for the request
+   * @param softwareVersion version of the software that the server must have
+   */
+  record Target(RequestPlan plan, String softwareVersion) {}
+
+  /**
+   * Creates the takeover of a stream.
+   *
+   * @param context dependencies shared by all requests
+   * @param request the request that takes the stream up
+   * @param log log of the request
+   */
+  StreamTakeover(TrafficContext context, InboundRequest request, RequestLog log) {
+    this.context = context;
+    this.request = request;
+    this.log = log;
+  }
+
+  /**
+   * Finds where the stream goes on.
+   *
+   * @param plan routing decision for a request that begins a stream
+   * @param resumption what the request says of the stream
+   * @param onTarget receives the target, at once or within a fraction of a second
+   * @param onRefused receives the error instead if the stream cannot go on
+   */
+  void start(
+      RequestPlan plan,
+      StreamResumption resumption,
+      Consumer<Target> onTarget,
+      Consumer<RequestException> onRefused) {
+    context
+        .origins()
+        .find(
+            resumption.firstRequest(),
+            plan.service(),
+            finding -> {
+              log.onResumes(resumption, finding);
+              try {
+                onTarget.accept(target(plan, resumption, finding));
+              } catch (RequestException e) {
+                onRefused.accept(e);
+              }
+            });
+  }
+
+  private Target target(
+      RequestPlan plan, StreamResumption resumption, StreamOrigins.Finding finding)
+      throws RequestException {
+    if (finding.origin().isEmpty()) {
+      throw GatewayErrors.originUnknown(plan.description(), resumption, RetryAfter.SOON_MILLIS);
+    }
+    StreamOrigin origin = finding.origin().get();
+    if (!plan.route().leadsTo(origin.service())) {
+      throw GatewayErrors.originNotRouted(
+          plan.description(), origin.service(), RetryAfter.SOON_MILLIS);
+    }
+    RequestPlan bound =
+        RequestPlan.of(request, context.state(), context.headers(), route -> origin.service());
+    return new Target(bound, origin.softwareVersion());
+  }
+}
--- a/node/src/main/java/io/nutmegseam/node/gateway/TrafficContext.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/TrafficContext.java
@@ -16,6 +16,7 @@
  * @param loads load and failures of the servers
  * @param retries limits retries
  * @param waitQueue requests that wait until their model is loaded
+ * @param origins software versions at which streams began
  * @param arrivals counts the requests for each model
  * @param events event log
  * @param metrics metrics of the node
@@ -30,6 +31,7 @@
     ServerLoads loads,
     RetryLimiter retries,
     ModelWaitQueue waitQueue,
+    StreamOrigins origins,
     ArrivalCounts arrivals,
     EventSink events,
     GatewayMetrics metrics) {}
--- a/node/src/main/java/io/nutmegseam/node/rows/NodeDirectory.java
+++ b/node/src/main/java/io/nutmegseam/node/rows/NodeDirectory.java
@@ -7,6 +7,8 @@
 import io.nutmegseam.core.event.EventSink;
 import io.nutmegseam.core.platform.Row;
 import io.nutmegseam.node.settings.HostPort;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -28,6 +30,12 @@
    */
   private static final int MAX_FOLLOWED_NODES = 4;
 
+  /** Number of nodes of a data centre that keep the origins of its streams. */
+  private static final int MAX_ORIGIN_KEEPERS = 6;
+
+  /** Number of other data centres in which one node keeps the origins of this node's streams. */
+  private static final int KEEPER_DATA_CENTRES = 2;
+
   private static final Comparator<NodeRecord> RANK =
       Comparator.comparingDouble((NodeRecord record) -> -record.power())
           .thenComparing(NodeRecord::node);
@@ -115,6 +123,44 @@
         .toList();
   }
 
+  /**
+   * Returns the other nodes of this data centre that keep the origins of its streams, in an order
+   * that differs between nodes, so that all of them get a similar number.
+   */
+  public List<NodeRecord> originKeepers() {
+    return startingAtOwnPosition(firstNodes(self.dataCentre()));
+  }
+
+  /** Returns a node in each of a few other data centres that keeps the origins as well. */
+  public List<NodeRecord> remoteOriginKeepers() {
+    List<String> dataCentres =
+        recordByNode.values().stream().map(NodeRecord::dataCentre).distinct().sorted().toList();
+    int own = dataCentres.indexOf(self.dataCentre());
+    int others = Math.min(KEEPER_DATA_CENTRES, dataCentres.size() - 1);
+    List<NodeRecord> keepers = new ArrayList<>();
+    for (int i = 1; i <= others; i++) {
+      String dataCentre = dataCentres.get((own + i) % dataCentres.size());
+      keepers.add(startingAtOwnPosition(firstNodes(dataCentre)).get(0));
+    }
+    return keepers;
+  }
+
+  /** Returns the first nodes of a data centre by rank, without this node. */
+  private List<NodeRecord> firstNodes(String dataCentre) {
+    return recordByNode.values().stream()
+        .filter(record -> record.dataCentre().equals(dataCentre))
+        .filter(record -> !record.node().equals(self.node()))
+        .sorted(RANK)
+        .limit(MAX_ORIGIN_KEEPERS)
+        .toList();
+  }
+
+  private List<NodeRecord> startingAtOwnPosition(List<NodeRecord> records) {
+    List<NodeRecord> rotated = new ArrayList<>(records);
+    Collections.rotate(rotated, self.node().hashCode());
+    return rotated;
+  }
+
   /** Returns whether a node, while it is live, reads the store for this node. */
   public boolean isFollowed(String node) {
     NodeRecord record = recordByNode.get(node);
--- a/node/src/test/java/io/nutmegseam/node/gateway/StreamVersionTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/StreamVersionTest.java
@@ -12,7 +12,6 @@
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Nested;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -68,7 +67,6 @@
   /** A caller takes up a stream at another node, after its connection has failed. */
   @Nested
   class TakenUpByCaller {
-    @Tag("known-red")
     @Test
     void should_resume_a_stream_at_another_node_only_at_its_version() throws Exception {
       try (StubServer older = new StubServer("a", this::unfinished, ConnectionAction.KEEP);
--- a/node/src/test/java/io/nutmegseam/node/gateway/TestGateway.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/TestGateway.java
@@ -12,6 +12,8 @@
 import io.nutmegseam.core.gateway.ServiceShare;
 import io.nutmegseam.core.gateway.ServiceSpec;
 import io.nutmegseam.node.control.MonotonicClock;
+import io.nutmegseam.node.peer.PeerTransport;
+import io.nutmegseam.node.peer.generated.PeerFrame;
 import io.nutmegseam.node.settings.HostPort;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -69,6 +71,11 @@
             loads,
             new RetryLimiter(0.2, 50, 10_000, 1, clock),
             waitQueue,
+            new StreamOrigins(
+                clock,
+                state,
+                new NoPeers(),
+                (delayMillis, task) -> loop.schedule(task, delayMillis, TimeUnit.MILLISECONDS)),
             new ArrivalCounts(),
             (kind, subject, detail) -> {},
             new GatewayMetrics());
@@ -169,4 +176,17 @@
   static String lines(String text) {
     return text.replace("|", "\r\n");
   }
+
+  /** The network of a node without peers. */
+  private static final class NoPeers implements PeerTransport {
+    @Override
+    public boolean send(String node, PeerFrame.Builder frame) {
+      return false;
+    }
+
+    @Override
+    public Set<String> connectedNodes() {
+      return Set.of();
+    }
+  }
 }
--- a/node/src/test/java/io/nutmegseam/node/rows/NodeDirectoryTest.java
+++ b/node/src/test/java/io/nutmegseam/node/rows/NodeDirectoryTest.java
@@ -50,6 +50,54 @@
     }
   }
 
+  /** Nodes that keep the origins of streams, at the target size of 18 data centres of 20 nodes. */
+  @Nested
+  class OriginKeepers {
+    private static final int DATA_CENTRES = 18;
+    private static final int NODES = 20;
+
+    @Test
+    void should_be_a_few_nodes_of_the_data_centre_and_of_two_others() {
+      // GIVEN
+      NodeDirectory here = directory("dc00-n00", "dc00", 1);
+      // WHEN
+      addAllNodes(here);
+      // THEN
+      assertThat(here.originKeepers()).hasSize(6);
+      assertThat(here.originKeepers()).allMatch(record -> record.dataCentre().equals("dc00"));
+      assertThat(here.remoteOriginKeepers())
+          .extracting(NodeRecord::dataCentre)
+          .containsExactly("dc01", "dc02");
+    }
+
+    /** The nodes at which a caller takes a stream up must ask those that keep its origin. */
+    @Test
+    void should_be_the_same_for_all_nodes_of_a_data_centre() {
+      // GIVEN
+      NodeDirectory one = directory("dc00-n18", "dc00", 1);
+      NodeDirectory other = directory("dc00-n19", "dc00", 1);
+      // WHEN
+      addAllNodes(one);
+      addAllNodes(other);
+      // THEN
+      assertThat(one.originKeepers()).hasSameElementsAs(other.originKeepers());
+      assertThat(one.originKeepers()).isNotEqualTo(other.originKeepers());
+    }
+
+    @Test
+    void should_be_none_for_a_single_node() {
+      assertThat(directory.originKeepers()).isEmpty();
+      assertThat(directory.remoteOriginKeepers()).isEmpty();
+    }
+
+    private void addAllNodes(NodeDirectory to) {
+      for (int i = 0; i < DATA_CENTRES * NODES; i++) {
+        String dataCentre = "dc%02d".formatted(i / NODES);
+        to.onRow(row("%s-n%02d".formatted(dataCentre, i % NODES), dataCentre, 1));
+      }
+    }
+  }
+
   /** The store returns from an older copy, which lacks rows that were written since. */
   @Nested
   class RestoredTable {
