--- a/node/src/main/java/io/nutmegseam/node/gateway/StreamOrigins.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/StreamOrigins.java
@@ -29,7 +29,7 @@
  */
 final class StreamOrigins {
   /** Time for which new origins are collected into one message. */
-  private static final long SHARE_DELAY_MILLIS = 20;
+  private static final long SHARE_DELAY_MILLIS = 50;
 
   /** Number of nodes of the data centre to which an origin is sent. */
   private static final int LOCAL_COPIES = 3;
@@ -38,7 +38,7 @@
   private static final long ASK_TIMEOUT_MILLIS = 150;
 
   /** Other nodes are asked once more after this time, since an origin may be on its way. */
-  private static final long ASK_AGAIN_MILLIS = 40;
+  private static final long ASK_AGAIN_MILLIS = 70;
 
   private static final long MIN_RETENTION_MILLIS = 15_000;
 
--- a/node/src/main/java/io/nutmegseam/node/rows/NodeDirectory.java
+++ b/node/src/main/java/io/nutmegseam/node/rows/NodeDirectory.java
@@ -31,7 +31,7 @@
   private static final int MAX_FOLLOWED_NODES = 4;
 
   /** Number of nodes of a data centre that keep the origins of its streams. */
-  private static final int MAX_ORIGIN_KEEPERS = 6;
+  private static final int MAX_ORIGIN_KEEPERS = 8;
 
   /** Number of other data centres in which one node keeps the origins of this node's streams. */
   private static final int KEEPER_DATA_CENTRES = 2;
