Vouch for the only software version by the age of the stream

Callers would see: streams refused after restarts of nodes although all servers have one version. Cause: a node vouched for the only version of a service after 15 s of observation, and only while the list of servers was current. A restarted node did not ask others if the first request was not named. Change: the observation has to reach back as far as the stream can: the route's timeout and 2 s, less the time that the caller has left. Nodes are asked in any case. Without a current list of servers all of them have to agree.

--- a/node/src/main/java/io/nutmegseam/node/gateway/StreamOrigins.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/StreamOrigins.java
@@ -1,6 +1,7 @@
 package io.nutmegseam.node.gateway;
 
 import io.nutmegseam.core.fleet.StreamOrigin;
+import io.nutmegseam.core.fleet.VersionHistory;
 import io.nutmegseam.core.gateway.GatewayConfig;
 import io.nutmegseam.node.peer.PeerTransport;
 import io.nutmegseam.node.peer.generated.PeerFrame;
@@ -10,7 +11,6 @@
 import io.nutmegseam.node.peer.generated.StreamOriginNews;
 import java.time.InstantSource;
 import java.util.ArrayDeque;
-import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -85,30 +85,39 @@
 
   private record Unshared(String request, StreamOrigin origin, long expiresMillis) {}
 
+  /**
+   * A stream whose origin is looked for.
+   *
+   * @param request id of the request that brought the first event; empty if it is not known
+   * @param service service to which the request that takes the stream up is routed
+   * @param maxAgeMillis longest time since the stream began, in milliseconds
+   */
+  record Query(String request, String service, long maxAgeMillis) {}
+
   private static final class Lookup {
-    private final String request;
-    private final String service;
+    private final Query query;
     private final Consumer<Finding> callback;
     private final Set<String> awaited = new HashSet<>();
-    private final Set<String> recentVersions = new HashSet<>();
-    private boolean observed;
+    private final Set<String> versions = new HashSet<>();
+    private boolean covered;
+    private boolean current;
+    private boolean answered;
     private boolean askedAgain;
 
-    private Lookup(String request, String service, Consumer<Finding> callback) {
-      this.request = request;
-      this.service = service;
+    private Lookup(Query query, Consumer<Finding> callback) {
+      this.query = query;
       this.callback = callback;
     }
 
-    private void addVersions(Collection<String> versions, boolean completely) {
-      recentVersions.addAll(versions);
-      observed |= completely;
-    }
-
-    /** Returns the only version that any node has seen, if one of them has seen all of them. */
+    /**
+     * Returns the version of the stream if all nodes that have answered know only this one. Nodes
+     * that have not seen the servers for a while could have missed a version that other nodes use;
+     * then all nodes that were asked must have answered.
+     */
     private Optional<String> soleVersion() {
-      return observed && recentVersions.size() == 1
-          ? recentVersions.stream().findFirst()
+      boolean certain = current || (answered && awaited.isEmpty());
+      return covered && certain && versions.size() == 1
+          ? versions.stream().findFirst()
           : Optional.empty();
     }
   }
@@ -154,19 +163,23 @@
   /**
    * Finds the origin of a stream.
    *
-   * @param request id of the request that brought the first event; empty if it is not known
-   * @param service service to which the request that takes the stream up is routed
+   * @param query the stream
    * @param callback receives the origin, at once or within a fraction of a second
    */
-  void find(String request, String service, Consumer<Finding> callback) {
-    Optional<StreamOrigin> own = table.get(request);
+  void find(Query query, Consumer<Finding> callback) {
+    Optional<StreamOrigin> own = table.get(query.request());
     if (own.isPresent()) {
       callback.accept(new Finding(own, "this node"));
       return;
     }
-    Lookup lookup = new Lookup(request, service, callback);
-    lookup.addVersions(recentVersions(service), hasObserved());
-    if (request.isEmpty() || lookupById.size() >= MAX_LOOKUPS) {
+    Lookup lookup = new Lookup(query, callback);
+    VersionHistory history = state.versions();
+    long nowMillis = clock.millis();
+    lookup.versions.addAll(
+        history.recentVersions(query.service(), nowMillis, query.maxAgeMillis()));
+    lookup.covered = history.covers(nowMillis, query.maxAgeMillis());
+    lookup.current = history.isCurrent(nowMillis);
+    if (lookupById.size() >= MAX_LOOKUPS) {
       finish(lookup);
       return;
     }
@@ -251,8 +264,9 @@
     StreamOriginAsk.Builder message =
         StreamOriginAsk.newBuilder()
             .setId(id)
-            .setRequest(lookup.request)
-            .setService(lookup.service);
+            .setRequest(lookup.query.request())
+            .setService(lookup.query.service())
+            .setMaxAgeMillis(lookup.query.maxAgeMillis());
     Set<String> connected = peers.connectedNodes();
     for (String node : keepers.local()) {
       if (connected.contains(node)
@@ -271,7 +285,13 @@
     if (origin.isPresent()) {
       answer.setOrigin(groupOf(origin.get()));
     } else {
-      answer.addAllRecentVersions(recentVersions(message.getService())).setObserved(hasObserved());
+      VersionHistory history = state.versions();
+      long nowMillis = clock.millis();
+      long maxAgeMillis = message.getMaxAgeMillis();
+      answer
+          .addAllVersions(history.recentVersions(message.getService(), nowMillis, maxAgeMillis))
+          .setCovered(history.covers(nowMillis, maxAgeMillis))
+          .setCurrent(history.isCurrent(nowMillis));
     }
     peers.send(node, PeerFrame.newBuilder().setStreamOriginAnswer(answer));
   }
@@ -284,11 +304,14 @@
     if (answer.hasOrigin()) {
       lookupById.remove(answer.getId());
       StreamOrigin origin = originOf(answer.getOrigin());
-      table.put(lookup.request, origin, retentionMillis());
+      table.put(lookup.query.request(), origin, retentionMillis());
       lookup.callback.accept(new Finding(Optional.of(origin), "node " + node));
       return;
     }
-    lookup.addVersions(answer.getRecentVersionsList(), answer.getObserved());
+    lookup.versions.addAll(answer.getVersionsList());
+    lookup.covered |= answer.getCovered();
+    lookup.current |= answer.getCurrent();
+    lookup.answered = true;
     lookup.awaited.remove(node);
     if (!lookup.awaited.isEmpty()) {
       return;
@@ -318,21 +341,19 @@
   /** Ends a lookup whose origin no node knows: it is certain only if there was one version. */
   private static void finish(Lookup lookup) {
     Optional<StreamOrigin> origin =
-        lookup.soleVersion().map(version -> new StreamOrigin(lookup.service, version));
+        lookup.soleVersion().map(version -> new StreamOrigin(lookup.query.service(), version));
     String source = origin.isPresent() ? "the only version of the service" : "no node";
     lookup.callback.accept(new Finding(origin, source));
   }
 
+  /** Returns whether the service has had one version for as long as a stream may be taken up. */
   private boolean hasSoleVersion(String service) {
-    return hasObserved() && recentVersions(service).size() == 1;
-  }
-
-  private Set<String> recentVersions(String service) {
-    return state.versions().recentVersions(service, clock.millis(), retentionMillis());
-  }
-
-  private boolean hasObserved() {
-    return state.versions().covers(clock.millis(), retentionMillis());
+    VersionHistory history = state.versions();
+    long nowMillis = clock.millis();
+    long withinMillis = retentionMillis();
+    return history.covers(nowMillis, withinMillis)
+        && history.isCurrent(nowMillis)
+        && history.recentVersions(service, nowMillis, withinMillis).size() == 1;
   }
 
   /** Returns the time for which a stream may be taken up after it began, in milliseconds. */
--- a/node/src/main/java/io/nutmegseam/node/gateway/StreamTakeover.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/StreamTakeover.java
@@ -9,6 +9,9 @@
  * version that began it, or not at all. Confined to the traffic thread.
  */
 final class StreamTakeover {
+  /** A caller may wait for longer than the timeout of the route by this time. */
+  private static final long CALLER_LIMIT_SLACK_MILLIS = 2_000;
+
   private final TrafficContext context;
   private final InboundRequest request;
   private final RequestLog log;
@@ -50,8 +53,7 @@
     context
         .origins()
         .find(
-            resumption.firstRequest(),
-            plan.service(),
+            new StreamOrigins.Query(resumption.firstRequest(), plan.service(), maxAgeMillis(plan)),
             finding -> {
               log.onResumes(resumption, finding);
               try {
@@ -62,6 +64,12 @@
             });
   }
 
+  /** Returns the longest time since the stream began, by the time that its caller has left. */
+  private long maxAgeMillis(RequestPlan plan) {
+    long remainingMillis = plan.deadlineMillis() - request.arrivedMillis();
+    return plan.route().timeoutMillis() + CALLER_LIMIT_SLACK_MILLIS - remainingMillis;
+  }
+
   private Target target(
       RequestPlan plan, StreamResumption resumption, StreamOrigins.Finding finding)
       throws RequestException {
