Bound the bytes of a response that carry no content

Callers would see: a wait until the deadline, and a node whose traffic thread is busy with a server in trouble that sends bytes that are no response, without end. Cause: a line and a head have limits, but not what stands between heads and bodies. Informational heads, blanks that arrive in parts of less than 8 KiB, chunk extensions and the body of a response to another request were read until the deadline. Change: received bytes that carry no content of the response may be 1 MiB and eight times the content; beyond, the connection has failed. A chunk of one byte takes six.

--- a/node/src/main/java/io/nutmegseam/node/gateway/ResponseDecoder.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/ResponseDecoder.java
@@ -1,7 +1,9 @@
 package io.nutmegseam.node.gateway;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 
 /** Decodes HTTP responses, and tells what is known of the end of the received bytes. */
@@ -10,7 +12,17 @@
   private static final int HEAD_BYTES = 65_536;
   private static final int CHUNK_BYTES = 8_192;
 
+  /**
+   * Limit of the received bytes that carry no content of the response, beyond a multiple of its
+   * content: heads, responses to other requests, chunk sizes, trailers and blanks.
+   */
+  private static final long MAX_OVERHEAD_BYTES = 1 << 20;
+
+  private static final long OVERHEAD_PER_CONTENT_BYTE = 8;
+
   private boolean endOfInput;
+  private long receivedBytes;
+  private long contentBytes;
 
   ResponseDecoder() {
     super(LINE_BYTES, HEAD_BYTES, CHUNK_BYTES);
@@ -21,6 +33,29 @@
     return endOfInput;
   }
 
+  /** Starts to count the bytes of the next response. */
+  void onRequest() {
+    receivedBytes = 0;
+    contentBytes = 0;
+  }
+
+  /** Counts a part of the response's content. */
+  void onContent(int bytes) {
+    contentBytes += bytes;
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+    receivedBytes += ((ByteBuf) message).readableBytes();
+    super.channelRead(context, message);
+    long overheadBytes = receivedBytes - contentBytes;
+    if (overheadBytes > MAX_OVERHEAD_BYTES + OVERHEAD_PER_CONTENT_BYTE * contentBytes) {
+      context.fireExceptionCaught(
+          new TooLongFrameException(
+              "%d of %d received bytes are no content".formatted(overheadBytes, receivedBytes)));
+    }
+  }
+
   @Override
   public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
     endOfInput |= event instanceof ChannelInputShutdownEvent;
--- a/node/src/main/java/io/nutmegseam/node/gateway/ServerConnection.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/ServerConnection.java
@@ -81,6 +81,7 @@
     listener = responseListener;
     expectedId = request.requestId();
     headReceived = false;
+    decoder.onRequest();
     DefaultFullHttpRequest message =
         new DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
@@ -186,6 +187,7 @@
     }
     if (content.content().isReadable()) {
       ByteBuf bytes = content.content();
+      decoder.onContent(bytes.readableBytes());
       listener.onContent(bytes);
     }
     if (last && listener != null) {
