Do not wait for the body of a refusal

Callers would see: 502 after a response that proves that the request did not run, which they may not repeat then, or a wait until the deadline, if the body of the response is too long, broken off or without end. Cause: a withheld response counted only with its complete body. For a refusal the head is the proof. Change: a refusal whose body is over the limit, broken off, or not complete after 500 ms counts as refused; a server error in that state as lost. Both end the connection. Shown: TruncatedResponseTest$Refusal (2 cases) and of EndlessResponseTest the two cases of refusals and the slow server error failed before and pass now.

--- a/node/src/main/java/io/nutmegseam/node/gateway/Attempt.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/Attempt.java
@@ -5,9 +5,11 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.util.concurrent.ScheduledFuture;
 import io.nutmegseam.core.event.EventKind;
 import io.nutmegseam.core.fleet.ServerEntry;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Sends a request to one server and reports the outcome to its owner. Confined to the traffic
@@ -20,6 +22,9 @@
   /** Limit of a response body that is withheld; larger than the error bodies of servers. */
   private static final int MAX_WITHHELD_BODY_BYTES = 64 << 10;
 
+  /** Longest wait for the body of a response that is withheld. */
+  private static final long WITHHELD_BODY_TIMEOUT_MILLIS = 500;
+
   private final TrafficContext context;
   private final ServerEntry server;
   private final Owner owner;
@@ -27,6 +32,7 @@
   private State state = State.CONNECTING;
   private HttpResponse withheldHead;
   private ByteString withheldBody = ByteString.EMPTY;
+  private ScheduledFuture<?> withheldBodyTimer;
 
   private enum State {
     CONNECTING,
@@ -166,6 +172,13 @@
     } else if (!success
         && (provesNotRun(head) || (serverError && owner.isServerErrorRetryable()))) {
       withheldHead = head;
+      withheldBodyTimer =
+          context
+              .loop()
+              .schedule(
+                  () -> onWithheldBodyWithoutEnd("no end of its body"),
+                  WITHHELD_BODY_TIMEOUT_MILLIS,
+                  TimeUnit.MILLISECONDS);
     } else {
       state = State.RELAYING;
       owner.onHead(head);
@@ -180,14 +193,31 @@
         && withheldBody.size() + content.readableBytes() <= MAX_WITHHELD_BODY_BYTES) {
       withheldBody = withheldBody.concat(ByteString.copyFrom(content.nioBuffer()));
     } else if (withheldHead != null) {
-      stop();
+      onWithheldBodyWithoutEnd("a body over the limit of withheld responses");
+    }
+  }
+
+  /** Ends the attempt without the body of its response, which is not needed for a refusal. */
+  private void onWithheldBodyWithoutEnd(String reason) {
+    stop();
+    if (provesNotRun(withheldHead)) {
+      onRefused();
+    } else {
       context.loads().onFailed(serverId());
       owner.onLost(
-          "%s responded with %d and a body over the limit of withheld responses"
-              .formatted(server.incarnation(), withheldHead.status().code()));
+          "%s responded with %d and %s"
+              .formatted(server.incarnation(), withheldHead.status().code(), reason));
     }
   }
 
+  private void onRefused() {
+    boolean misdirected = withheldHead.status().code() == STATUS_MISDIRECTED;
+    owner.onNotRun(
+        "refused",
+        misdirected,
+        "%s refused with %d".formatted(server.incarnation(), withheldHead.status().code()));
+  }
+
   private void forward(ByteBuf content) {
     if (!owner.onContent(content)) {
       stop();
@@ -213,11 +243,7 @@
       context.loads().onSucceeded(serverId());
       owner.onComplete(end);
     } else if (provesNotRun(withheldHead)) {
-      boolean misdirected = withheldHead.status().code() == STATUS_MISDIRECTED;
-      owner.onNotRun(
-          "refused",
-          misdirected,
-          "%s refused with %d".formatted(server.incarnation(), withheldHead.status().code()));
+      onRefused();
     } else {
       context.loads().onFailed(serverId());
       owner.onServerError(
@@ -234,6 +260,10 @@
     }
     boolean relaying = state == State.RELAYING;
     markEnded();
+    if (withheldHead != null && provesNotRun(withheldHead)) {
+      onRefused();
+      return;
+    }
     context.loads().onFailed(serverId());
     String detail = "%s: %s".formatted(server.incarnation(), reason);
     if (relaying) {
@@ -257,6 +287,9 @@
 
   private void markEnded() {
     state = State.ENDED;
+    if (withheldBodyTimer != null) {
+      withheldBodyTimer.cancel(false);
+    }
     context.loads().onDone(serverId(), this);
   }
 
--- a/node/src/test/java/io/nutmegseam/node/gateway/EndlessResponseTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/EndlessResponseTest.java
@@ -37,6 +37,7 @@
 
   private static final int BLANKS_PER_PART = 4 << 10;
   private static final String OK = "HTTP/1.1 200 OK|id: {id}|receipt: r|";
+  private static final String NOT_RUN = "HTTP/1.1 421 Misdirected|id: {id}|not-run: 1|";
 
   private TestGateway gateway;
 
@@ -91,6 +92,29 @@
       assertThat(TestGateway.isComplete(received)).as(name).isFalse();
     }
 
+    /** The head proves that the request did not run, so that the body does not matter. */
+    @ParameterizedTest
+    @CsvSource({
+      "fast, x, 0",
+      "slow, x, 20",
+    })
+    void should_refuse_a_request_that_did_not_run_without_waiting_for_the_body(
+        String name, String repeated, long pauseMillis) throws Exception {
+      assertFailsSoon(NOT_RUN + "|", repeated, pauseMillis, "HTTP/1.1 503");
+    }
+
+    @ParameterizedTest
+    @CsvSource({"fast, 0", "slow, 20"})
+    void should_fail_a_request_whose_server_error_has_an_endless_body(String name, long pauseMillis)
+        throws Exception {
+      assertFailsSoon(
+          RequestKind.IDEMPOTENT,
+          "HTTP/1.1 500 Broken|id: {id}|receipt: r||",
+          "x",
+          pauseMillis,
+          "HTTP/1.1 502");
+    }
+
     @Test
     void should_fail_a_request_after_an_endless_response_to_another_one() throws Exception {
       assertFailsSoon("HTTP/1.1 200 OK|id: other|receipt: r||", "x", 0, "HTTP/1.1 502");
--- a/node/src/test/java/io/nutmegseam/node/gateway/TruncatedResponseTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/TruncatedResponseTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** Guards against responses that a server breaks off and that look complete to the caller. */
 class TruncatedResponseTest {
@@ -136,6 +137,24 @@
     }
   }
 
+  /** The head of a refusal proves that the request did not run; its body is not needed. */
+  @Nested
+  class Refusal {
+    @ParameterizedTest
+    @EnumSource(
+        value = ConnectionAction.class,
+        names = {"CLOSE", "RESET"})
+    void should_report_not_run_if_the_body_of_the_refusal_is_broken_off(ConnectionAction end)
+        throws Exception {
+      String refusal = "HTTP/1.1 503 No\r\nid: {id}\r\nnot-run: 1\r\nContent-Length: 9\r\n\r\nbusy";
+      try (StubServer server = new StubServer("a", refusal, end)) {
+        gateway.configure(
+            TestGateway.route(RequestKind.NON_IDEMPOTENT, false), Optional.empty(), server);
+        assertThat(gateway.call("POST", "1", "")).startsWith("HTTP/1.1 503");
+      }
+    }
+  }
+
   /** The connection fails while the request is still being written. */
   @Nested
   class FailedWrite {
