Close a server's connection on which bytes arrive without a request

Callers would see nothing, or a request on a connection that a server in trouble fills with blanks. Cause: the decoder skips blanks before a head, also on an idle connection, so that they were read until the connection was closed for idleness, which a reuse postpones. Change: any byte on a connection without a request closes it. Shown: EndlessResponseTest$IdleConnection, slow blanks, failed before and passes now.

--- a/node/src/main/java/io/nutmegseam/node/gateway/ResponseDecoder.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/ResponseDecoder.java
@@ -5,6 +5,7 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.ReferenceCountUtil;
 
 /** Decodes HTTP responses, and tells what is known of the end of the received bytes. */
 final class ResponseDecoder extends HttpResponseDecoder {
@@ -21,6 +22,7 @@
   private static final long OVERHEAD_PER_CONTENT_BYTE = 8;
 
   private boolean endOfInput;
+  private boolean responseExpected;
   private long receivedBytes;
   private long contentBytes;
 
@@ -35,10 +37,16 @@
 
   /** Starts to count the bytes of the next response. */
   void onRequest() {
+    responseExpected = true;
     receivedBytes = 0;
     contentBytes = 0;
   }
 
+  /** Ends the response; bytes that follow belong to none. */
+  void onResponseEnd() {
+    responseExpected = false;
+  }
+
   /** Counts a part of the response's content. */
   void onContent(int bytes) {
     contentBytes += bytes;
@@ -46,6 +54,11 @@
 
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+    if (!responseExpected) {
+      ReferenceCountUtil.release(message);
+      context.close();
+      return;
+    }
     receivedBytes += ((ByteBuf) message).readableBytes();
     super.channelRead(context, message);
     long overheadBytes = receivedBytes - contentBytes;
--- a/node/src/main/java/io/nutmegseam/node/gateway/ServerConnection.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/ServerConnection.java
@@ -204,6 +204,7 @@
     ResponseListener completed = listener;
     listener = null;
     headReceived = false;
+    decoder.onResponseEnd();
     boolean reusable =
         keepAlive && writeFuture.isSuccess() && channel.isActive() && !decoder.hasUnreadBytes();
     if (reusable) {
--- a/node/src/test/java/io/nutmegseam/node/gateway/EndlessResponseTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/EndlessResponseTest.java
@@ -134,6 +134,27 @@
     }
   }
 
+  /** A server writes to a connection on which no response is expected. */
+  @Nested
+  class IdleConnection {
+    @ParameterizedTest
+    @CsvSource({"fast, 0", "slow, 20"})
+    void should_close_a_connection_on_which_blanks_arrive(String name, long pauseMillis)
+        throws Exception {
+      String complete = TestGateway.lines(OK + "Content-Length: 5||hello");
+      try (EndlessServer server = new EndlessServer(complete, " ", pauseMillis)) {
+        configure(RequestKind.NON_IDEMPOTENT, server);
+        String received = gateway.call("POST", "1", "");
+        assertThat(received).startsWith("HTTP/1.1 200").endsWith("hello");
+        Thread.sleep(MAX_WAIT_MILLIS / 4);
+        long writtenBytes = server.writtenBytes();
+        Thread.sleep(MAX_WAIT_MILLIS / 4);
+        assertThat(server.writtenBytes()).isEqualTo(writtenBytes);
+        assertThat(writtenBytes).isLessThan(MAX_WRITTEN_BYTES);
+      }
+    }
+  }
+
   private String assertFailsSoon(
       String beginning, String repeated, long pauseMillis, String expectedStatus) throws Exception {
     return assertFailsSoon(
