Let a stream go on at a busy server that gets no new streams

Callers would see: a stream that they take up refused as queue-full (429), and what was generated lost. Cause: the limit for new streams, by which no first event is late, also applied to streams that had had theirs. They have fewer servers to go to, those of their software version. Change: a request that takes a stream up is not refused for the queue of its server. Shown: should_go_on_at_a_busy_server_that_gets_no_new_streams failed before (429) and passes now.

--- a/node/src/main/java/io/nutmegseam/node/gateway/ServerSelection.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/ServerSelection.java
@@ -73,10 +73,12 @@
 
   /**
    * Returns whether requests already wait at a server for longer than the target latency. Accepting
-   * more requests than servers can handle in time would make all of them late.
+   * more requests than servers can handle in time would make all of them late. A stream that goes
+   * on has had its first event, and a refusal would waste what was generated.
    */
   boolean wouldMissTarget(ServerEntry server) {
-    return plan.route().kind() == RequestKind.STREAMING
+    return softwareVersion.isEmpty()
+        && plan.route().kind() == RequestKind.STREAMING
         && context.loads().queueMillis(server.incarnation().id())
             > plan.route().targetLatencyMillis();
   }
--- a/node/src/test/java/io/nutmegseam/node/gateway/StreamVersionTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/StreamVersionTest.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
@@ -20,6 +21,11 @@
  */
 class StreamVersionTest {
   private static final int STREAMS = 20;
+  private static final int QUEUED = 4;
+
+  /** Longer than the target latency of the route, and shorter than its timeout. */
+  private static final long QUEUE_MILLIS = 500;
+
   private static final String STREAM =
       "HTTP/1.1 200 OK\r\nid: {id}\r\nreceipt: r\r\nContent-Type: text/event-stream\r\n";
   private static final String FIRST_EVENT = "id: 1\ndata: a\n\n";
@@ -87,6 +93,44 @@
       }
     }
 
+    /** The first event has been in time; a refusal would waste what the server has generated. */
+    @Test
+    void should_go_on_at_a_busy_server_that_gets_no_new_streams() throws Exception {
+      try (StubServer server =
+              new StubServer("a", this::unfinishedOrSilent, ConnectionAction.KEEP);
+          TestGateway gateway = new TestGateway()) {
+        // GIVEN a stream that has begun, and a queue at its server
+        configure(gateway, server);
+        try (Socket begun = gateway.connect()) {
+          send(begun, "id: r");
+          readUntil(begun, "data: a\n\n");
+        }
+        List<Socket> queue = new ArrayList<>();
+        for (int i = 0; i < QUEUED; i++) {
+          queue.add(gateway.connect());
+          send(queue.get(i), "id: silent" + i);
+        }
+        Thread.sleep(QUEUE_MILLIS);
+        // WHEN
+        String begins = gateway.call("POST", "new", "");
+        String goesOn;
+        try (Socket resumed = gateway.connect()) {
+          send(resumed, "id: again\r\nresumes: r\r\nlast: 1");
+          goesOn = readUntil(resumed, "0\r\n\r\n");
+        }
+        // THEN
+        assertThat(begins).startsWith("HTTP/1.1 429");
+        assertThat(goesOn).startsWith("HTTP/1.1 200").contains("data: b");
+        for (Socket socket : queue) {
+          socket.close();
+        }
+      }
+    }
+
+    private String unfinishedOrSilent(String head) {
+      return StubServer.header(head, "id").startsWith("silent") ? "" : unfinished(head);
+    }
+
     private String unfinished(String head) {
       return isResumed(head) ? REST : STREAM + "\r\n" + FIRST_EVENT;
     }
--- a/node/src/test/java/io/nutmegseam/node/gateway/TestGateway.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/TestGateway.java
@@ -150,6 +150,11 @@
     state.setFleet(new Fleet(entries));
   }
 
+  /** Opens a caller's connection. */
+  Socket connect() throws IOException {
+    return new Socket(InetAddress.getLoopbackAddress(), port);
+  }
+
   /** Sends a request and returns what the gateway sends until it closes the connection. */
   String call(String method, String id, String body) throws IOException {
     String length = body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n";
@@ -168,7 +173,7 @@
    * "Connection: close", reads until the end of the response head only.
    */
   String exchange(String request) throws IOException {
-    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+    try (Socket socket = connect()) {
       socket.setSoTimeout(READ_TIMEOUT_MILLIS);
       socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
       StringBuilder received = new StringBuilder();
