Do not append the body of an error to a resumed stream

Callers would see: a stream that holds the body of an error response, and is complete. Cause: the head of a server that goes on with a stream is not forwarded, and only server errors were told from success. Another status (redirect, client error) went on as if its body were the stream's. Change: every response without success is withheld once a stream has begun; the stream is resumed elsewhere or aborted. Shown: should_not_append_an_error_to_a_stream failed before for 302 and 400 and passes now; 500 passed before.

--- a/node/src/main/java/io/nutmegseam/node/gateway/Attempt.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/Attempt.java
@@ -47,10 +47,10 @@
     ServerConnection.OutboundRequest outboundRequest(ServerEntry server);
 
     /**
-     * Returns whether a 5xx response is to be withheld, so that the request can be retried on
-     * another server.
+     * Returns whether a response without success is to be withheld, since the request can be
+     * retried on another server, or since the response cannot go on with a stream that has begun.
      */
-    boolean isServerErrorRetryable();
+    boolean isFailureWithheld(HttpStatusClass statusClass);
 
     /** Handles the head of a response that is to be forwarded. */
     void onHead(HttpResponse head);
@@ -84,13 +84,13 @@
     void onLost(String reason);
 
     /**
-     * Handles a 5xx response that was withheld, since another server may succeed.
+     * Handles a response without success that was withheld.
      *
      * @param head head of the response
      * @param body complete body of the response
      * @param reason what happened, for logs and error messages
      */
-    void onServerError(HttpResponse head, ByteString body, String reason);
+    void onFailure(HttpResponse head, ByteString body, String reason);
 
     /** Handles a response that ended after its head but before it was complete. */
     void onTruncated(String reason);
@@ -164,13 +164,12 @@
     reportLoad(head);
     context.loads().onResponseHead(serverId(), this);
     boolean success = head.status().codeClass() == HttpStatusClass.SUCCESS;
-    boolean serverError = head.status().codeClass() == HttpStatusClass.SERVER_ERROR;
     if (success && !head.headers().contains(context.headers().receipt())) {
       stop();
       context.loads().onFailed(serverId());
       owner.onLost("response without a receipt header from " + server.incarnation());
     } else if (!success
-        && (provesNotRun(head) || (serverError && owner.isServerErrorRetryable()))) {
+        && (provesNotRun(head) || owner.isFailureWithheld(head.status().codeClass()))) {
       withheldHead = head;
       withheldBodyTimer =
           context
@@ -246,7 +245,7 @@
       onRefused();
     } else {
       context.loads().onFailed(serverId());
-      owner.onServerError(
+      owner.onFailure(
           withheldHead,
           withheldBody,
           "%s responded with %d".formatted(server.incarnation(), withheldHead.status().code()));
--- a/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
@@ -19,11 +19,6 @@
   /** A server that refused a request or a connection is avoided for this time. */
   private static final long REFUSED_PAUSE_MILLIS = 300;
 
-  /** Non-repeatable requests use recently active connections; the server may have closed others. */
-  private static final long NON_REPEATABLE_MAX_IDLE_MILLIS = 500;
-
-  private static final long REPEATABLE_MAX_IDLE_MILLIS = 8_000;
-
   /** Maximum number of attempts for a request that is known not to have run. */
   private static final int MAX_DISPATCHES = 4;
 
@@ -160,8 +155,7 @@
       dispatches++;
       attempt = new Attempt(context, chosen.get(), this);
       startFirstByteTimer();
-      attempt.start(
-          plan.route().isRetryable() ? REPEATABLE_MAX_IDLE_MILLIS : NON_REPEATABLE_MAX_IDLE_MILLIS);
+      attempt.start(plan.maxConnectionIdleMillis());
     } else if (relay.isStarted()) {
       abortResponse("no server can resume the response");
     } else if (selection.isModelMissing()) {
@@ -294,9 +288,11 @@
   }
 
   @Override
-  public boolean isServerErrorRetryable() {
+  public boolean isFailureWithheld(HttpStatusClass statusClass) {
     return relay.isStarted()
-        || (plan.route().kind() == RequestKind.IDEMPOTENT && runs + 1 < plan.route().maxAttempts());
+        || (statusClass == HttpStatusClass.SERVER_ERROR
+            && plan.route().kind() == RequestKind.IDEMPOTENT
+            && runs + 1 < plan.route().maxAttempts());
   }
 
   @Override
@@ -367,7 +363,7 @@
   }
 
   @Override
-  public void onServerError(HttpResponse head, ByteString body, String reason) {
+  public void onFailure(HttpResponse head, ByteString body, String reason) {
     ServerEntry server = attempt.server();
     selection.exclude(server);
     runs++;
--- a/node/src/main/java/io/nutmegseam/node/gateway/RequestPlan.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/RequestPlan.java
@@ -34,6 +34,11 @@
 
   private static final int MAX_DIGITS = 10;
 
+  /** Non-repeatable requests use recently active connections; the server may have closed others. */
+  private static final long NON_REPEATABLE_MAX_IDLE_MILLIS = 500;
+
+  private static final long REPEATABLE_MAX_IDLE_MILLIS = 8_000;
+
   /** Minimum time that a server needs to begin its response. */
   private static final long MIN_RESPONSE_MILLIS = 100;
 
@@ -80,6 +85,11 @@
     return new ModelWaitQueue.Key(service, ref.orElseThrow());
   }
 
+  /** Returns the longest time that a connection for the request may have been idle. */
+  long maxConnectionIdleMillis() {
+    return route.isRetryable() ? REPEATABLE_MAX_IDLE_MILLIS : NON_REPEATABLE_MAX_IDLE_MILLIS;
+  }
+
   /** Returns the route, service and model for log lines and error messages. */
   String description() {
     return "route %s, service %s%s"
--- a/node/src/test/java/io/nutmegseam/node/gateway/TruncatedResponseTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/TruncatedResponseTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against responses that a server breaks off and that look complete to the caller. */
 class TruncatedResponseTest {
@@ -74,6 +75,30 @@
       assertNotCompleted(true, UNFRAMED_STREAM + FIRST_EVENT + PARTIAL_EVENT);
     }
 
+    /** The response to the resumed part is an error, whose body is no part of the stream. */
+    @ParameterizedTest
+    @ValueSource(strings = {"400 Bad Request", "302 Found", "500 Broken"})
+    void should_not_append_an_error_to_a_stream(String status) throws Exception {
+      // GIVEN
+      String error =
+          "HTTP/1.1 %s\r\nid: {id}\r\nreceipt: r\r\nContent-Length: 9\r\n\r\n{error}\n\n"
+              .formatted(status);
+      UnaryOperator<String> responses =
+          head ->
+              StubServer.header(head, "last").isEmpty()
+                  ? UNFRAMED_STREAM + FIRST_EVENT + PARTIAL_EVENT
+                  : error;
+      try (StubServer one = new StubServer("a", responses, ConnectionAction.CLOSE);
+          StubServer other = new StubServer("b", responses, ConnectionAction.CLOSE)) {
+        configure(true, one, other);
+        // WHEN
+        String received = gateway.call("POST", "1", "");
+        // THEN
+        assertThat(received).contains("id: 1").doesNotContain("error");
+        assertThat(TestGateway.isComplete(received)).as(received).isFalse();
+      }
+    }
+
     /** An event that is too large to be held back until its end arrives. */
     @Test
     void should_not_join_the_parts_of_an_event_of_two_servers() throws Exception {
