Share the origins of the last streams of a node when a second version appears

Callers would see: streams refused as of unknown origin, if the node at which they began is killed after a second software version has appeared and no further stream has begun there. Cause: the origins that wait were looked at only when a stream began. Change: they are looked at each 500 ms as well. Shown: should_share_the_origin_of_the_last_stream_once_a_second_version_serves failed before and passes now.

--- a/node/src/main/java/io/nutmegseam/node/gateway/StreamOrigins.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/StreamOrigins.java
@@ -11,6 +11,7 @@
 import io.nutmegseam.node.peer.generated.StreamOriginNews;
 import java.time.InstantSource;
 import java.util.ArrayDeque;
+import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -31,6 +32,9 @@
   /** Time for which new origins are collected into one message. */
   private static final long SHARE_DELAY_MILLIS = 50;
 
+  /** Interval at which origins that need not be sent yet are looked at again. */
+  private static final long UNSHARED_CHECK_MILLIS = 500;
+
   /** Number of nodes of the data centre to which an origin is sent. */
   private static final int LOCAL_COPIES = 3;
 
@@ -58,6 +62,7 @@
   private final Map<Long, Lookup> lookupById = new HashMap<>();
   private Keepers keepers = new Keepers(List.of(), List.of());
   private boolean shareScheduled;
+  private boolean checkScheduled;
   private long lastLookupId;
 
   /** Runs a task on the traffic thread after a delay. */
@@ -156,7 +161,12 @@
     unshared.addLast(new Unshared(request, origin, clock.millis() + retentionMillis));
     if (!shareScheduled) {
       shareScheduled = true;
-      timer.schedule(SHARE_DELAY_MILLIS, this::share);
+      timer.schedule(
+          SHARE_DELAY_MILLIS,
+          () -> {
+            shareScheduled = false;
+            share();
+          });
     }
   }
 
@@ -212,7 +222,6 @@
    * may come into use while their streams last.
    */
   private void share() {
-    shareScheduled = false;
     long nowMillis = clock.millis();
     Map<StreamOrigin, StreamOriginGroup.Builder> groups = new LinkedHashMap<>();
     Map<String, Boolean> certainByService = new HashMap<>();
@@ -227,11 +236,23 @@
           }
           return !certain || entry.expiresMillis() <= nowMillis;
         });
-    if (groups.isEmpty()) {
-      return;
+    if (!groups.isEmpty()) {
+      send(groups.values());
+    }
+    if (!unshared.isEmpty() && !checkScheduled) {
+      checkScheduled = true;
+      timer.schedule(
+          UNSHARED_CHECK_MILLIS,
+          () -> {
+            checkScheduled = false;
+            share();
+          });
     }
+  }
+
+  private void send(Collection<StreamOriginGroup.Builder> groups) {
     StreamOriginNews.Builder news = StreamOriginNews.newBuilder();
-    groups.values().forEach(news::addGroups);
+    groups.forEach(news::addGroups);
     Set<String> connected = peers.connectedNodes();
     keepers.local().stream()
         .filter(connected::contains)
--- a/node/src/test/java/io/nutmegseam/node/gateway/StreamOriginsTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/StreamOriginsTest.java
@@ -165,6 +165,17 @@
       assertThat(found("dc-a-1", "r")).isEqualTo(OLDER);
     }
 
+    /** No further stream begins at the node before it is killed. */
+    @Test
+    void should_share_the_origin_of_the_last_stream_once_a_second_version_serves() {
+      network.observe(network.liveNodes(""), OBSERVED_MILLIS, "v1");
+      network.begin("dc-a-0", "last", OLDER);
+      network.advance(SHARED_MILLIS);
+      network.observe(network.liveNodes(""), 1_000, "v1", "v1.1");
+      network.kill("dc-a-0");
+      assertThat(found("dc-a-1", "last")).isEqualTo(OLDER);
+    }
+
     /** Streams that began before the second version came must be known as well. */
     @Test
     void should_share_the_origins_of_earlier_streams_once_a_second_version_serves() {
