One word for a stream that goes on: resume

ResumptionRouter was StreamTakeover, which could be read as the takeover of a server. No behaviour changes.

--- a/core/src/main/java/io/nutmegseam/core/event/EventKind.java
+++ b/core/src/main/java/io/nutmegseam/core/event/EventKind.java
@@ -86,7 +86,7 @@
   ANSWER_CROSSED(406),
   /** A backend server crashed while it ran the request; the request receives a strike. */
   CRASH_STRIKE(407),
-  /** A request takes up a stream that an earlier request of the caller began. */
+  /** A request resumes a stream that an earlier request of the caller began. */
   REQUEST_RESUMES(408),
   /** The claim of a call that must run at most once is confirmed. */
   CLAIM_CONFIRMED(410),
--- a/core/src/test/java/io/nutmegseam/core/fleet/VersionHistoryTest.java
+++ b/core/src/test/java/io/nutmegseam/core/fleet/VersionHistoryTest.java
@@ -49,7 +49,7 @@
       assertThat(sole()).isNull();
     }
 
-    /** A stream that the last server of a version began may still be taken up. */
+    /** A stream that the last server of a version began may still be resumed. */
     @Test
     void should_not_be_certain_shortly_after_the_last_server_of_a_version_has_left() {
       observe(WINDOW_MILLIS, "v1", "v1.1");
--- a/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
@@ -89,14 +89,14 @@
     context.retries().onNewRequest(plan.service());
     resumption = StreamResumption.of(request.headers(), context.headers(), plan.route());
     if (resumption.isPresent()) {
-      new StreamTakeover(context, request, log)
-          .start(plan, resumption.get(), this::onTakeover, this::refuse);
+      new ResumptionRouter(context, request, log)
+          .start(plan, resumption.get(), this::onResumptionRouted, this::refuse);
     } else {
       dispatch();
     }
   }
 
-  private void onTakeover(StreamTakeover.Target target) {
+  private void onResumptionRouted(ResumptionRouter.Target target) {
     if (!done) {
       plan = target.plan();
       selection = new ServerSelection(context, plan);
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayMetrics.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayMetrics.java
@@ -23,7 +23,7 @@
   private final Counter responses =
       counter("responses", "Forwarded responses by how their end is marked", "framing");
   private final Counter resumptions =
-      counter("stream_resumptions", "Streams that callers take up", "origin");
+      counter("stream_resumptions", "Streams that callers resume", "origin");
   private final Counter calls = counter("calls", "Calls to the platform and orders", "call");
   private final Histogram firstByte = histogram("first_byte", "Time to the head of an answer");
   private final Histogram modelWait =
@@ -40,7 +40,7 @@
     responses.labelValues(framing.label()).inc();
   }
 
-  /** Counts a stream that a caller takes up, by whether its origin is known. */
+  /** Counts a stream that a caller resumes, by whether its origin is known. */
   void onStreamResumed(boolean originKnown) {
     resumptions.labelValues(originKnown ? "known" : "unknown").inc();
   }
--- a/node/src/main/java/io/nutmegseam/node/gateway/RequestLog.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/RequestLog.java
@@ -35,7 +35,7 @@
             .formatted(plan.description(), server.incarnation(), server.softwareVersion()));
   }
 
-  /** Logs that the request takes up a stream, and what is known of its origin. */
+  /** Logs that the request resumes a stream, and what is known of its origin. */
   void onResumes(StreamResumption resumption, StreamOrigins.Finding finding) {
     metrics.onStreamResumed(finding.origin().isPresent());
     record(
--- a/node/src/main/java/io/nutmegseam/node/gateway/StreamTakeover.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/ResumptionRouter.java
@@ -5,10 +5,10 @@
 import java.util.function.Consumer;
 
 /**
- * Routes a request that takes up a stream: the stream goes on at the service and the software
+ * Routes a request that resumes a stream: the stream goes on at the service and the software
  * version that began it, or not at all. Confined to the traffic thread.
  */
-final class StreamTakeover {
+final class ResumptionRouter {
   /** A caller may wait for longer than the timeout of the route by this time. */
   private static final long CALLER_LIMIT_SLACK_MILLIS = 2_000;
 
@@ -25,13 +25,13 @@
   record Target(RequestPlan plan, String softwareVersion) {}
 
   /**
-   * Creates the takeover of a stream.
+   * Creates a router.
    *
    * @param context dependencies shared by all requests
-   * @param request the request that takes the stream up
+   * @param request the request that resumes the stream
    * @param log log of the request
    */
-  StreamTakeover(TrafficContext context, InboundRequest request, RequestLog log) {
+  ResumptionRouter(TrafficContext context, InboundRequest request, RequestLog log) {
     this.context = context;
     this.request = request;
     this.log = log;
--- a/node/src/main/java/io/nutmegseam/node/gateway/StreamOrigins.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/StreamOrigins.java
@@ -24,7 +24,7 @@
 
 /**
  * Knows at which software version streams began, so that they go on at no other one when a caller
- * takes them up at any node. The node at which a stream begins sends its origin to a few other
+ * resumes them at any node. The node at which a stream begins sends its origin to a few other
  * nodes, unless the service has had one version only; a node that does not know the origin of a
  * stream asks them. Confined to the traffic thread.
  */
@@ -46,7 +46,7 @@
 
   private static final long MIN_RETENTION_MILLIS = 15_000;
 
-  /** Callers may take a stream up until their own time limit, which can exceed the route's. */
+  /** Callers may resume a stream until their own time limit, which can exceed the route's. */
   private static final long RETENTION_PER_TIMEOUT = 2;
 
   private static final int MAX_ID_LENGTH = 128;
@@ -94,7 +94,7 @@
    * A stream whose origin is looked for.
    *
    * @param request id of the request that brought the first event; empty if it is not known
-   * @param service service to which the request that takes the stream up is routed
+   * @param service service to which the request that resumes the stream is routed
    * @param maxAgeMillis longest time since the stream began, in milliseconds
    */
   record Query(String request, String service, long maxAgeMillis) {}
@@ -367,7 +367,7 @@
     lookup.callback.accept(new Finding(origin, source));
   }
 
-  /** Returns whether the service has had one version for as long as a stream may be taken up. */
+  /** Returns whether the service has had one version for as long as a stream may be resumed. */
   private boolean hasSoleVersion(String service) {
     VersionHistory history = state.versions();
     long nowMillis = clock.millis();
@@ -377,7 +377,7 @@
         && history.recentVersions(service, nowMillis, withinMillis).size() == 1;
   }
 
-  /** Returns the time for which a stream may be taken up after it began, in milliseconds. */
+  /** Returns the time for which a stream may be resumed after it began, in milliseconds. */
   private long retentionMillis() {
     long longestMillis = state.config().map(GatewayConfig::longestStreamMillis).orElse(0L);
     return Math.max(MIN_RETENTION_MILLIS, RETENTION_PER_TIMEOUT * longestMillis);
--- a/node/src/main/java/io/nutmegseam/node/gateway/StreamResumption.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/StreamResumption.java
@@ -5,13 +5,13 @@
 import java.util.Optional;
 
 /**
- * What a request says of the stream that it takes up.
+ * What a request says of the stream that it resumes.
  *
  * @param firstRequest id of the request that brought the first event; empty if it is not stated
  * @param lastEventId id of the last event that the caller has; empty if it is not stated
  */
 record StreamResumption(String firstRequest, String lastEventId) {
-  /** Returns the stream that a request takes up; empty if it begins one. */
+  /** Returns the stream that a request resumes; empty if it begins one. */
   static Optional<StreamResumption> of(HttpHeaders headers, GatewayHeaders names, Route route) {
     StreamResumption resumption =
         new StreamResumption(
--- a/node/src/test/java/io/nutmegseam/node/gateway/StreamOriginsTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/StreamOriginsTest.java
@@ -196,7 +196,7 @@
 
   /** Six in ten nodes are killed at once while two versions serve; callers return elsewhere. */
   @Nested
-  class HerdKill {
+  class MostNodesKilled {
     private static final int RUNS = 50;
     private static final double KILLED_SHARE = 0.6;
     private static final int STREAMS = 60;
@@ -226,7 +226,7 @@
               .isTrue();
         }
       }
-      // The least that the platform allows, of all streams that are taken up.
+      // The least that the platform allows, of all streams that are resumed.
       assertThat(known).as("of %d", taken).isGreaterThan(taken / 2);
     }
 
--- a/node/src/test/java/io/nutmegseam/node/gateway/StreamVersionTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/StreamVersionTest.java
@@ -70,9 +70,9 @@
     }
   }
 
-  /** A caller takes up a stream at another node, after its connection has failed. */
+  /** A caller resumes a stream at another node, after its connection has failed. */
   @Nested
-  class TakenUpByCaller {
+  class ResumedByCaller {
     @Test
     void should_resume_a_stream_at_another_node_only_at_its_version() throws Exception {
       try (StubServer older = new StubServer("a", this::unfinished, ConnectionAction.KEEP);
@@ -81,15 +81,15 @@
                   .withSoftwareVersion("v1.1");
           TestCluster cluster = new TestCluster(older, newer).start("n1").start("n2")) {
         // GIVEN two nodes that know each other
-        await().until(() -> takesUp(cluster, "warm-up" + System.nanoTime()));
+        await().until(() -> resumes(cluster, "warm-up" + System.nanoTime()));
         // WHEN
-        int takenUp = 0;
+        int resumed = 0;
         for (int i = 0; i < STREAMS; i++) {
-          takenUp += takesUp(cluster, "r" + i) ? 1 : 0;
+          resumed += resumes(cluster, "r" + i) ? 1 : 0;
         }
         // THEN
         assertThat(streamsOverTwoVersions(older, newer)).isEmpty();
-        assertThat(takenUp).isEqualTo(STREAMS);
+        assertThat(resumed).isEqualTo(STREAMS);
       }
     }
 
@@ -135,8 +135,8 @@
       return isResumed(head) ? REST : STREAM + "\r\n" + FIRST_EVENT;
     }
 
-    /** Begins a stream at the first node and takes it up at the second one. */
-    private boolean takesUp(TestCluster cluster, String id) throws IOException {
+    /** Begins a stream at the first node and resumes it at the second one. */
+    private boolean resumes(TestCluster cluster, String id) throws IOException {
       try (Socket begun = cluster.connect("n1")) {
         send(begun, "id: " + id);
         assertThat(readUntil(begun, "data: a\n\n")).startsWith("HTTP/1.1 200");
--- a/node/src/test/java/io/nutmegseam/node/rows/NodeDirectoryTest.java
+++ b/node/src/test/java/io/nutmegseam/node/rows/NodeDirectoryTest.java
@@ -70,7 +70,7 @@
           .containsExactly("dc01", "dc02");
     }
 
-    /** The nodes at which a caller takes a stream up must ask those that keep its origin. */
+    /** The nodes at which a caller resumes a stream must ask those that keep its origin. */
     @Test
     void should_be_the_same_for_all_nodes_of_a_data_centre() {
       // GIVEN
