--- a/node/src/test/java/io/nutmegseam/node/gateway/TestCluster.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/TestCluster.java
@@ -16,6 +16,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -36,9 +37,12 @@
   private final Map<String, HostPort> callerAddressByNode = new HashMap<>();
 
   TestCluster(StubServer... servers) {
+    this(Arrays.stream(servers).map(server -> server.entry("s")).toList());
+  }
+
+  TestCluster(List<ServerEntry> entries) {
     store.put(CONFIG_TABLE, CONFIG_KEY, "{}");
-    for (StubServer server : servers) {
-      ServerEntry entry = server.entry("s");
+    for (ServerEntry entry : entries) {
       entryById.put(entry.incarnation().id(), entry);
       store.put(SERVER_TABLE, entry.incarnation().id(), "{}");
     }
