Do not vouch for a version over a time that is not remembered

Callers would see: with route timeouts of more than some ten minutes, a stream that goes on at another software version. Cause: versions are forgotten 10 minutes after their last server has left, but a longer observation counted as complete. Shown: should_not_be_certain_for_a_time_beyond_what_is_remembered failed before and passes now.

--- a/core/src/main/java/io/nutmegseam/core/fleet/VersionHistory.java
+++ b/core/src/main/java/io/nutmegseam/core/fleet/VersionHistory.java
@@ -16,6 +16,7 @@
   /** Age up to which the list of servers counts as current; the usual time until it is read. */
   public static final long MAX_AGE_MILLIS = 2_500;
 
+  /** Time for which a version is remembered after its last server has left. */
   private static final long RETENTION_MILLIS = 600_000;
 
   private final Map<String, Map<String, Long>> lastSeenMillisByService;
@@ -76,13 +77,16 @@
   }
 
   /**
-   * Returns whether the first observation was before a time.
+   * Returns whether the servers have been observed since a time, and no version that they had since
+   * then is forgotten.
    *
    * @param nowMillis present monotonic time
    * @param withinMillis length of the time up to now, in milliseconds
    */
   public boolean covers(long nowMillis, long withinMillis) {
-    return !isEmpty() && nowMillis - sinceMillis >= withinMillis;
+    return !isEmpty()
+        && withinMillis <= RETENTION_MILLIS
+        && nowMillis - sinceMillis >= withinMillis;
   }
 
   /** Returns whether the servers were observed a moment ago. */
--- a/core/src/test/java/io/nutmegseam/core/fleet/VersionHistoryTest.java
+++ b/core/src/test/java/io/nutmegseam/core/fleet/VersionHistoryTest.java
@@ -25,6 +25,15 @@
       assertThat(sole()).isEqualTo("v1");
     }
 
+    /** Versions of the distant past are forgotten. */
+    @Test
+    void should_not_be_certain_for_a_time_beyond_what_is_remembered() {
+      long hourMillis = 3_600_000;
+      observe(2 * hourMillis, "v1");
+      assertThat(history.covers(nowMillis, WINDOW_MILLIS)).isTrue();
+      assertThat(history.covers(nowMillis, hourMillis)).isFalse();
+    }
+
     @Test
     void should_tell_whether_the_list_of_servers_is_old() {
       observe(WINDOW_MILLIS, "v1");
