Match the response to a row write with the row that was written

If another node had acquired the server before the response arrived, or an earlier write's response came in a later phase, the node claimed the engine with one more than the row's epoch, which nobody had written. The engine then refused the owner for good. Ruled out: an engine that keeps epochs over a restart (it starts from 0). Change: a confirmation carries the row that was written; one of an older version than the row as read is no confirmation. Shown: the simulation delivers responses late and counts epochs that were used but not written. should_never_claim_a_server_with_an_epoch_that_was_not_written failed before (epoch 8 used, row has 7) and passes now, 2,000 random runs. Before, the simulation confirmed a write at the moment when it took effect.

--- a/core/src/main/java/io/nutmegseam/core/ownership/OwnershipEvent.java
+++ b/core/src/main/java/io/nutmegseam/core/ownership/OwnershipEvent.java
@@ -25,12 +25,13 @@
       implements OwnershipEvent {}
 
   /**
-   * The row write took effect.
+   * A row write took effect. Its response may arrive late, when another write is in flight.
    *
+   * @param row the row that was written
    * @param version the row's new version
    * @param nowMillis monotonic time
    */
-  record WriteConfirmed(long version, long nowMillis) implements OwnershipEvent {}
+  record WriteConfirmed(ServerRow row, long version, long nowMillis) implements OwnershipEvent {}
 
   /** The row write was rejected because another node wrote the row first. */
   record WriteConflicted() implements OwnershipEvent {}
--- a/core/src/main/java/io/nutmegseam/core/ownership/ServerOwnership.java
+++ b/core/src/main/java/io/nutmegseam/core/ownership/ServerOwnership.java
@@ -138,18 +138,18 @@
   }
 
   private Transition onWriteConfirmed(OwnershipEvent.WriteConfirmed confirmed) {
-    if (phase == Phase.TAKING) {
-      ServerRow acquired = row.acquiredBy(node, incarnation);
-      return withRow(acquired, confirmed.version())
-          .withSettledAt(confirmed.nowMillis() + settleMillis)
-          .startClaiming();
+    if (confirmed.version() < rowVersion) {
+      // The row has been written again before the response arrived.
+      return onWriteFailed();
     }
-    if (phase == Phase.RELEASING) {
-      return withRow(row.released(), confirmed.version())
-          .withPhase(Phase.WATCHING)
-          .withoutActions();
+    ServerOwnership next = withRow(confirmed.row(), confirmed.version());
+    boolean ownedByThisNode = confirmed.row().isOwnedBy(node, incarnation);
+    if (ownedByThisNode && (phase == Phase.TAKING || phase == Phase.WATCHING)) {
+      return next.withSettledAt(confirmed.nowMillis() + settleMillis).startClaiming();
     }
-    return withoutActions();
+    return !ownedByThisNode && phase == Phase.RELEASING
+        ? next.withPhase(Phase.WATCHING).withoutActions()
+        : next.withoutActions();
   }
 
   private Transition onWriteFailed() {
--- a/core/src/test/java/io/nutmegseam/core/ownership/OwnershipProperties.java
+++ b/core/src/test/java/io/nutmegseam/core/ownership/OwnershipProperties.java
@@ -25,6 +25,20 @@
         .isLessThanOrEqualTo(OwnershipSimulation.CAPACITY_BYTES);
   }
 
+  /**
+   * Guards against a server that refuses its owner for good, since a node that lost the server has
+   * claimed it with a higher epoch than any that was written.
+   */
+  @Property(tries = TRIES, seed = SEED, shrinking = ShrinkingMode.BOUNDED)
+  void should_never_claim_a_server_with_an_epoch_that_was_not_written(@ForAll long seed) {
+    OwnershipSimulation simulation =
+        new OwnershipSimulation(seed, true, true, TakeoverRule.standard());
+    simulation.run(STEPS);
+    assertThat(simulation.unwrittenEpochs())
+        .as(() -> String.join("\n", simulation.trace()))
+        .isZero();
+  }
+
   @Property(tries = TRIES, seed = SEED, shrinking = ShrinkingMode.BOUNDED)
   void should_never_overcommit_memory_of_a_server_without_fencing(@ForAll long seed) {
     OwnershipSimulation simulation =
--- a/core/src/test/java/io/nutmegseam/core/ownership/OwnershipSimulation.java
+++ b/core/src/test/java/io/nutmegseam/core/ownership/OwnershipSimulation.java
@@ -37,6 +37,7 @@
   private long fence;
   private long nowMillis = 1_000;
   private long peakBytes;
+  private int unwrittenEpochs;
 
   private static final class Node {
     private final String name;
@@ -73,6 +74,11 @@
     return peakBytes;
   }
 
+  /** Returns how often a claim or an order had an epoch that was never written. */
+  int unwrittenEpochs() {
+    return unwrittenEpochs;
+  }
+
   List<String> trace() {
     return trace;
   }
@@ -166,16 +172,23 @@
       row = write.row();
       version++;
     }
-    if (!node.id().equals(id)) {
-      return;
-    }
+    OwnershipEvent outcome = outcome(applies, write.row(), version);
+    // The row may be read, and written by another node, before the response arrives.
+    inFlight.add(
+        () -> {
+          if (node.id().equals(id)) {
+            handle(node, outcome);
+          }
+        });
+  }
+
+  private OwnershipEvent outcome(boolean applied, ServerRow written, long writtenVersion) {
     if (random.nextInt(4) == 0) {
-      handle(node, new OwnershipEvent.WriteUnknown());
-    } else if (applies) {
-      handle(node, new OwnershipEvent.WriteConfirmed(version, nowMillis));
-    } else {
-      handle(node, new OwnershipEvent.WriteConflicted());
+      return new OwnershipEvent.WriteUnknown();
     }
+    return applied
+        ? new OwnershipEvent.WriteConfirmed(written, writtenVersion, nowMillis)
+        : new OwnershipEvent.WriteConflicted();
   }
 
   private void claim(Node node, String id, long epoch) {
@@ -187,6 +200,10 @@
   }
 
   private boolean acceptsEpoch(long epoch) {
+    if (epoch > row.epoch()) {
+      unwrittenEpochs++;
+      trace.add(nowMillis + " epoch " + epoch + " used, row has " + row.epoch());
+    }
     if (engineChecksFencing && epoch < fence) {
       return false;
     }
--- a/node/src/main/java/io/nutmegseam/node/control/OwnershipControl.java
+++ b/node/src/main/java/io/nutmegseam/node/control/OwnershipControl.java
@@ -216,15 +216,15 @@
         .thread()
         .callAsync(
             () -> context.table().commit(transaction),
-            (result, error) -> apply(tracked, writeOutcome(result, error)));
+            (result, error) -> apply(tracked, writeOutcome(write.row(), result, error)));
   }
 
-  private OwnershipEvent writeOutcome(CommitResult result, Exception error) {
+  private OwnershipEvent writeOutcome(ServerRow row, CommitResult result, Exception error) {
     if (error instanceof PlatformException || result == null) {
       return new OwnershipEvent.WriteUnknown();
     }
     return result.committed()
-        ? new OwnershipEvent.WriteConfirmed(result.version(), context.nowMillis())
+        ? new OwnershipEvent.WriteConfirmed(row, result.version(), context.nowMillis())
         : new OwnershipEvent.WriteConflicted();
   }
 
