Match the engine's response to a claim with its fencing number

Callers would see: memory of an accelerator overcommitted, if an earlier owner's orders are accepted beside those of the next. Cause: a response to an earlier claim that arrived while a later claim was in flight counted for the later one. The node then sent orders with an epoch that the engine had not seen, while the engine still accepted those of the owner in between. Found when the simulation delivered the responses to claims late, as those to row writes.

--- a/core/src/main/java/io/nutmegseam/core/ownership/OwnershipEvent.java
+++ b/core/src/main/java/io/nutmegseam/core/ownership/OwnershipEvent.java
@@ -42,11 +42,19 @@
    */
   record WriteUnknown() implements OwnershipEvent {}
 
-  /** The engine has accepted the fencing number, or does not check fencing numbers. */
-  record EngineClaimed() implements OwnershipEvent {}
+  /**
+   * The engine has accepted a fencing number, or does not check fencing numbers.
+   *
+   * @param epoch the fencing number, which may be that of an earlier claim
+   */
+  record EngineClaimed(long epoch) implements OwnershipEvent {}
 
-  /** The engine has seen a higher fencing number. */
-  record EngineFenced() implements OwnershipEvent {}
+  /**
+   * The engine has seen a higher fencing number.
+   *
+   * @param epoch the rejected fencing number, which may be that of an earlier claim
+   */
+  record EngineFenced(long epoch) implements OwnershipEvent {}
 
   /** The engine did not confirm the fencing number. */
   record EngineUnreachable() implements OwnershipEvent {}
--- a/core/src/main/java/io/nutmegseam/core/ownership/ServerOwnership.java
+++ b/core/src/main/java/io/nutmegseam/core/ownership/ServerOwnership.java
@@ -89,11 +89,13 @@
         || event instanceof OwnershipEvent.WriteUnknown) {
       return onWriteFailed();
     }
-    if (event instanceof OwnershipEvent.EngineClaimed) {
-      return phase == Phase.CLAIMING ? onEngineClaimed() : withoutActions();
+    if (event instanceof OwnershipEvent.EngineClaimed claimed) {
+      boolean current = phase == Phase.CLAIMING && claimed.epoch() == row.epoch();
+      return current ? onEngineClaimed() : withoutActions();
     }
-    if (event instanceof OwnershipEvent.EngineFenced) {
-      return phase == Phase.WATCHING ? withoutActions() : stopOwning();
+    if (event instanceof OwnershipEvent.EngineFenced fenced) {
+      boolean current = phase != Phase.WATCHING && fenced.epoch() == row.epoch();
+      return current ? stopOwning() : withoutActions();
     }
     return withoutActions();
   }
--- a/core/src/test/java/io/nutmegseam/core/ownership/OwnershipProperties.java
+++ b/core/src/test/java/io/nutmegseam/core/ownership/OwnershipProperties.java
@@ -39,6 +39,17 @@
         .isZero();
   }
 
+  /** Guards against orders of an earlier owner that the engine accepts beside those of the next. */
+  @Property(tries = TRIES, seed = SEED, shrinking = ShrinkingMode.BOUNDED)
+  void should_never_send_orders_before_the_engine_has_confirmed_the_epoch(@ForAll long seed) {
+    OwnershipSimulation simulation =
+        new OwnershipSimulation(seed, true, true, TakeoverRule.standard());
+    simulation.run(STEPS);
+    assertThat(simulation.unclaimedOrders())
+        .as(() -> String.join("\n", simulation.trace()))
+        .isZero();
+  }
+
   @Property(tries = TRIES, seed = SEED, shrinking = ShrinkingMode.BOUNDED)
   void should_never_overcommit_memory_of_a_server_without_fencing(@ForAll long seed) {
     OwnershipSimulation simulation =
--- a/core/src/test/java/io/nutmegseam/core/ownership/OwnershipSimulation.java
+++ b/core/src/test/java/io/nutmegseam/core/ownership/OwnershipSimulation.java
@@ -38,6 +38,7 @@
   private long nowMillis = 1_000;
   private long peakBytes;
   private int unwrittenEpochs;
+  private int unclaimedOrders;
 
   private static final class Node {
     private final String name;
@@ -79,6 +80,11 @@
     return unwrittenEpochs;
   }
 
+  /** Returns how often a node sent an order with an epoch that the engine had not confirmed. */
+  int unclaimedOrders() {
+    return unclaimedOrders;
+  }
+
   List<String> trace() {
     return trace;
   }
@@ -193,10 +199,17 @@
 
   private void claim(Node node, String id, long epoch) {
     boolean accepted = acceptsEpoch(epoch);
-    if (node.id().equals(id) && random.nextInt(5) != 0) {
-      handle(
-          node, accepted ? new OwnershipEvent.EngineClaimed() : new OwnershipEvent.EngineFenced());
-    }
+    boolean lost = random.nextInt(5) == 0;
+    inFlight.add(
+        () -> {
+          if (node.id().equals(id) && !lost) {
+            handle(
+                node,
+                accepted
+                    ? new OwnershipEvent.EngineClaimed(epoch)
+                    : new OwnershipEvent.EngineFenced(epoch));
+          }
+        });
   }
 
   private boolean acceptsEpoch(long epoch) {
@@ -226,6 +239,7 @@
     String unit = random.nextBoolean() ? "m1" : "m2";
     long epoch = node.state.row().epoch();
     String id = node.id();
+    unclaimedOrders += checksFencing && fence < epoch ? 1 : 0;
     if (node.ledger.entry(unit).isPresent()) {
       node.ledger = node.ledger.markUnloading(unit, nowMillis);
       send(node, id, epoch, () -> loaded.remove(unit));
--- a/node/src/main/java/io/nutmegseam/node/control/OwnershipControl.java
+++ b/node/src/main/java/io/nutmegseam/node/control/OwnershipControl.java
@@ -230,7 +230,7 @@
 
   private void claimEngine(TrackedServer tracked, long epoch) {
     if (!tracked.ownership.checksFencing()) {
-      context.thread().execute(() -> apply(tracked, new OwnershipEvent.EngineClaimed()));
+      context.thread().execute(() -> apply(tracked, new OwnershipEvent.EngineClaimed(epoch)));
       return;
     }
     if (tracked.claimInFlight) {
@@ -246,17 +246,17 @@
             },
             (done, error) -> {
               tracked.claimInFlight = false;
-              apply(tracked, claimOutcome(error));
+              apply(tracked, claimOutcome(epoch, error));
             });
   }
 
-  private static OwnershipEvent claimOutcome(Exception error) {
+  private static OwnershipEvent claimOutcome(long epoch, Exception error) {
     if (error == null) {
-      return new OwnershipEvent.EngineClaimed();
+      return new OwnershipEvent.EngineClaimed(epoch);
     }
     boolean fenced =
         error instanceof BackendException failure
             && failure.outcome() == BackendException.Outcome.FENCED;
-    return fenced ? new OwnershipEvent.EngineFenced() : new OwnershipEvent.EngineUnreachable();
+    return fenced ? new OwnershipEvent.EngineFenced(epoch) : new OwnershipEvent.EngineUnreachable();
   }
 }
