--- a/node/src/main/java/io/nutmegseam/node/gateway/BodyFraming.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/BodyFraming.java
@@ -1,6 +1,7 @@
 package io.nutmegseam.node.gateway;
 
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 
 /** How the end of a response body is marked. */
@@ -23,9 +24,7 @@
     if (HttpUtil.isTransferEncodingChunked(head)) {
       return CHUNKED;
     }
-    return HttpUtil.isContentLengthSet(head) || hasNoBody(head.status().code())
-        ? LENGTH
-        : CONNECTION;
+    return HttpUtil.isContentLengthSet(head) || hasNoBody(head.status()) ? LENGTH : CONNECTION;
   }
 
   /** Returns the name in log lines and metric labels. */
@@ -33,7 +32,8 @@
     return label;
   }
 
-  private static boolean hasNoBody(int status) {
-    return status == 204 || status == 304;
+  private static boolean hasNoBody(HttpResponseStatus status) {
+    return status.equals(HttpResponseStatus.NO_CONTENT)
+        || status.equals(HttpResponseStatus.NOT_MODIFIED);
   }
 }
