--- a/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
@@ -10,6 +10,7 @@
 import io.nutmegseam.core.fleet.ServerEntry;
 import io.nutmegseam.core.fleet.StreamOrigin;
 import io.nutmegseam.core.gateway.RequestKind;
+import io.nutmegseam.core.retry.Fingerprint;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -28,6 +29,7 @@
   private final ResponseRelay relay;
   private final Runnable onDone;
   private final String id;
+  private final Fingerprint content;
   private final RequestLog log;
   private final RequestForwarder forwarder;
   private final FirstByteTimer firstByteTimer;
@@ -57,6 +59,7 @@
     this.relay = new ResponseRelay(writer);
     this.onDone = onDone;
     this.id = request.headers().get(context.headers().requestId(), "");
+    this.content = RequestFingerprints.ofContent(request);
     this.log = RequestLog.of(context, id, request.arrivedMillis());
     this.forwarder = new RequestForwarder(context, request, id);
     this.firstByteTimer = new FirstByteTimer(context.loop(), this::onFirstByteTimeout);
@@ -283,7 +286,7 @@
 
   @Override
   public ServerConnection.OutboundRequest outboundRequest(ServerEntry server) {
-    log.onDispatched(plan, server);
+    log.onDispatched(plan, server, content);
     return forwarder.outboundRequest(plan, server, relay.lastEventId());
   }
 
--- a/node/src/main/java/io/nutmegseam/node/gateway/RequestLog.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/RequestLog.java
@@ -4,6 +4,7 @@
 import io.nutmegseam.core.event.EventKind;
 import io.nutmegseam.core.event.EventSink;
 import io.nutmegseam.core.fleet.ServerEntry;
+import io.nutmegseam.core.retry.Fingerprint;
 import java.time.InstantSource;
 
 /**
@@ -28,11 +29,12 @@
   }
 
   /** Logs that the request is sent to a server. */
-  void onDispatched(RequestPlan plan, ServerEntry server) {
+  void onDispatched(RequestPlan plan, ServerEntry server, Fingerprint content) {
     record(
         EventKind.REQUEST_DISPATCHED,
-        "%s, server %s, software %s"
-            .formatted(plan.description(), server.incarnation(), server.softwareVersion()));
+        "%s, server %s, software %s, content %s"
+            .formatted(
+                plan.description(), server.incarnation(), server.softwareVersion(), content));
   }
 
   /** Logs that the request resumes a stream, and what is known of its origin. */
