--- a/node/src/test/java/io/nutmegseam/node/gateway/TestCluster.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/TestCluster.java
@@ -8,6 +8,7 @@
 import io.nutmegseam.core.gateway.GatewayConfig;
 import io.nutmegseam.core.gateway.GatewayLimits;
 import io.nutmegseam.core.gateway.RequestKind;
+import io.nutmegseam.core.gateway.Route;
 import io.nutmegseam.core.gateway.ServiceSpec;
 import io.nutmegseam.core.orders.ModelOrder;
 import io.nutmegseam.core.orders.OrderResponse;
@@ -33,6 +34,7 @@
 
   private final TestRowStore store = new TestRowStore();
   private final Map<String, ServerEntry> entryById = new ConcurrentHashMap<>();
+  private final Route route;
   private final Map<String, GatewayDaemon> daemonByNode = new HashMap<>();
   private final Map<String, HostPort> callerAddressByNode = new HashMap<>();
 
@@ -41,11 +43,24 @@
   }
 
   TestCluster(List<ServerEntry> entries) {
+    this(TestGateway.route(RequestKind.STREAMING, true), entries);
+  }
+
+  TestCluster(Route route, List<ServerEntry> entries) {
+    this.route = route;
     store.put(CONFIG_TABLE, CONFIG_KEY, "{}");
-    for (ServerEntry entry : entries) {
-      entryById.put(entry.incarnation().id(), entry);
-      store.put(SERVER_TABLE, entry.incarnation().id(), "{}");
-    }
+    entries.forEach(this::putEntry);
+  }
+
+  /** Adds or replaces the entry of a server. */
+  void putEntry(ServerEntry entry) {
+    entryById.put(entry.incarnation().id(), entry);
+    store.put(SERVER_TABLE, entry.incarnation().id(), "{}");
+  }
+
+  /** Removes the entry of a server. */
+  void removeEntry(String server) {
+    store.remove(SERVER_TABLE, server);
   }
 
   /** Starts a node of the data centre dc, and waits until it is ready. */
@@ -87,6 +102,11 @@
     return new Socket(address.host(), address.port());
   }
 
+  /** Stops a node; another one of the same name can be started after that. */
+  void stop(String node) {
+    daemonByNode.remove(node).stop();
+  }
+
   @Override
   public void close() {
     daemonByNode.values().forEach(GatewayDaemon::stop);
@@ -96,7 +116,7 @@
     GatewayConfig config =
         new GatewayConfig(
             1,
-            List.of(TestGateway.route(RequestKind.STREAMING, true)),
+            List.of(route),
             Map.of("s", new ServiceSpec("s", 10, Optional.empty())),
             new GatewayLimits(8_192, 8_192, 1_000, 5_000));
     return new RowDecoders(
--- a/node/src/test/java/io/nutmegseam/node/gateway/TestRowStore.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/TestRowStore.java
@@ -12,6 +12,7 @@
 /** A store of rows in memory. Thread-safe. */
 final class TestRowStore implements RowStore {
   private final Map<String, Map<String, Row>> rowsByTable = new HashMap<>();
+  private final Map<String, Map<String, Long>> removedVersionByTable = new HashMap<>();
   private long version = 1;
 
   /** Sets the value of a row. */
@@ -20,6 +21,13 @@
     table(table).put(key, new Row(key, value, version));
   }
 
+  /** Removes a row. */
+  synchronized void remove(String table, String key) {
+    version++;
+    table(table).remove(key);
+    removedVersionByTable.computeIfAbsent(table, t -> new HashMap<>()).put(key, version);
+  }
+
   @Override
   public synchronized CompletableFuture<ReadResult> readAll(String table) {
     List<Row> rows = List.copyOf(table(table).values());
@@ -31,7 +39,13 @@
       String table, long afterVersion, long waitMillis) {
     List<Row> rows =
         table(table).values().stream().filter(row -> row.version() > afterVersion).toList();
-    ReadResult changes = new ReadResult(rows, List.of(), version);
+    List<String> removed =
+        removedVersionByTable.getOrDefault(table, Map.of()).entrySet().stream()
+            .filter(entry -> entry.getValue() > afterVersion)
+            .map(Map.Entry::getKey)
+            .filter(key -> !table(table).containsKey(key))
+            .toList();
+    ReadResult changes = new ReadResult(rows, removed, version);
     return CompletableFuture.completedFuture(Optional.of(changes));
   }
 
