--- a/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
@@ -29,7 +29,7 @@
   private final ResponseRelay relay;
   private final Runnable onDone;
   private final String id;
-  private final Fingerprint content;
+  private final RequestFingerprints fingerprints;
   private final RequestLog log;
   private final RequestForwarder forwarder;
   private final FirstByteTimer firstByteTimer;
@@ -58,7 +58,7 @@
     this.relay = new ResponseRelay(writer);
     this.onDone = onDone;
     this.id = request.headers().get(context.headers().requestId(), "");
-    this.content = RequestFingerprints.ofContent(request);
+    this.fingerprints = RequestFingerprints.of(request, context.headers());
     this.log = RequestLog.of(context, id, request.arrivedMillis());
     this.forwarder = new RequestForwarder(context, request, id);
     this.firstByteTimer = new FirstByteTimer(context.loop(), this::onFirstByteTimeout);
@@ -150,7 +150,7 @@
 
   @Override
   public Collection<Fingerprint> fingerprints() {
-    return List.of(content);
+    return List.of(fingerprints.content());
   }
 
   /** Ends the request unless a server has begun to respond, which may still turn out well. */
@@ -287,7 +287,7 @@
 
   @Override
   public ServerConnection.OutboundRequest outboundRequest(ServerEntry server) {
-    log.onDispatched(plan, server, content);
+    log.onDispatched(plan, server, fingerprints);
     return forwarder.outboundRequest(plan, server, relay.lastEventId());
   }
 
--- a/node/src/main/java/io/nutmegseam/node/gateway/RequestFingerprints.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/RequestFingerprints.java
@@ -1,16 +1,40 @@
 package io.nutmegseam.node.gateway;
 
 import io.nutmegseam.core.crash.Fingerprint;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
 
-/** Computes the fingerprints by which a request is recognised when it comes again. */
-final class RequestFingerprints {
-  private RequestFingerprints() {}
+/**
+ * Fingerprints by which a request is recognised when it comes again, or what it has in common with
+ * other requests.
+ *
+ * @param content fingerprint of the content; a repeat has the same one, although its id, deadline
+ *     and last event id differ
+ * @param sharedParts fingerprints of the parts of the prompt that other requests may have as well,
+ *     which are all but the last one, in their order
+ */
+record RequestFingerprints(Fingerprint content, List<Fingerprint> sharedParts) {
+  private static final String PART = "part";
+  private static final int MAX_PARTS = 32;
+
+  /** Creates the fingerprints with a copy of the list. */
+  RequestFingerprints {
+    sharedParts = List.copyOf(sharedParts);
+  }
 
   /**
-   * Returns the fingerprint of a request's content. A repeat has the same one, although its id,
-   * deadline and last event id differ.
+   * Returns the fingerprints of a request.
+   *
+   * @param request the request
+   * @param names names of the platform's headers
    */
-  static Fingerprint ofContent(InboundRequest request) {
+  static RequestFingerprints of(InboundRequest request, GatewayHeaders names) {
+    return new RequestFingerprints(ofContent(request), ofSharedParts(request, names));
+  }
+
+  private static Fingerprint ofContent(InboundRequest request) {
     return Fingerprint.builder()
         .add(request.method().name())
         .add(request.host())
@@ -18,4 +42,25 @@
         .add(request.body().asReadOnlyByteBuffer())
         .build();
   }
+
+  private static List<Fingerprint> ofSharedParts(InboundRequest request, GatewayHeaders names) {
+    List<String> parts =
+        Arrays.asList(request.headers().get(names.prompt(), "").split(",", MAX_PARTS + 1));
+    List<Fingerprint> shared = new ArrayList<>();
+    for (String part : parts.subList(0, parts.size() - 1)) {
+      shared.add(Fingerprint.builder().add(PART).add(partId(part)).build());
+    }
+    return shared;
+  }
+
+  /** Returns the id of a part that is written as {@code id:tokens}. */
+  private static String partId(String part) {
+    int colon = part.indexOf(':');
+    return (colon < 0 ? part : part.substring(0, colon)).trim().toLowerCase(Locale.ROOT);
+  }
+
+  @Override
+  public String toString() {
+    return "content %s, shared parts %s".formatted(content, sharedParts);
+  }
 }
--- a/node/src/main/java/io/nutmegseam/node/gateway/RequestLog.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/RequestLog.java
@@ -1,6 +1,5 @@
 package io.nutmegseam.node.gateway;
 
-import io.nutmegseam.core.crash.Fingerprint;
 import io.nutmegseam.core.error.RequestException;
 import io.nutmegseam.core.event.EventKind;
 import io.nutmegseam.core.event.EventSink;
@@ -29,12 +28,12 @@
   }
 
   /** Logs that the request is sent to a server. */
-  void onDispatched(RequestPlan plan, ServerEntry server, Fingerprint content) {
+  void onDispatched(RequestPlan plan, ServerEntry server, RequestFingerprints fingerprints) {
     record(
         EventKind.REQUEST_DISPATCHED,
-        "%s, server %s, software %s, content %s"
+        "%s, server %s, software %s, %s"
             .formatted(
-                plan.description(), server.incarnation(), server.softwareVersion(), content));
+                plan.description(), server.incarnation(), server.softwareVersion(), fingerprints));
   }
 
   /** Logs that the request resumes a stream, and what is known of its origin. */
