--- /dev/null
+++ b/node/src/test/java/io/nutmegseam/node/gateway/CrashingPartTest.java
@@ -0,0 +1,94 @@
+package io.nutmegseam.node.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.nutmegseam.core.gateway.RequestKind;
+import java.util.List;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against requests that crash servers by one part of their prompts, which are sent to
+ * servers again and again since no two of them are alike.
+ */
+class CrashingPartTest {
+  /** Time after which all nodes must know what the crashes show. */
+  private static final long STABLE_MILLIS = 3_000;
+
+  /** Number of crashes after which requests with the part may be sent a few more times only. */
+  private static final int CRASHES = 5;
+
+  private static final int MAX_LATER_ARRIVALS = 3;
+  private static final int SERVERS = 10;
+  private static final CrashingServers.Timing TIMING = new CrashingServers.Timing(3_600, 2_000);
+
+  private static final String BAD = "prompt: f00d:96,bad:30,c{n}:200\r\n";
+  private static final String SOUND = "prompt: f00d:96,5e55{n}:30,d{n}:200\r\n";
+
+  @Nested
+  @Tag("known-red")
+  class NoTwoAlike {
+    @Test
+    void should_not_send_requests_with_a_part_to_servers_after_it_crashed_five() throws Exception {
+      try (CrashScenario scenario = scenario(RequestKind.STREAMING, false)) {
+        play(scenario, 32);
+        check(scenario);
+      }
+    }
+
+    @Test
+    void should_not_resume_streams_with_a_part_that_crashed_five_servers() throws Exception {
+      try (CrashScenario scenario = scenario(RequestKind.STREAMING, true)) {
+        play(scenario, 32);
+        check(scenario);
+      }
+    }
+
+    @Test
+    void should_not_send_them_after_a_node_has_restarted() throws Exception {
+      try (CrashScenario scenario = scenario(RequestKind.STREAMING, false)) {
+        // GIVEN
+        play(scenario, 28);
+        long restartMillis = System.currentTimeMillis();
+        // WHEN
+        scenario.cluster().stop("n2");
+        scenario.cluster().start("n2");
+        play(scenario, 8);
+        // THEN
+        assertThat(scenario.arrivalsSince(restartMillis, ",bad:"))
+            .isLessThanOrEqualTo(MAX_LATER_ARRIVALS);
+      }
+    }
+  }
+
+  /** Sends requests with the part at all nodes, beside sound ones with the same first part. */
+  private static void play(CrashScenario scenario, int rounds) throws InterruptedException {
+    for (int i = 0; i < rounds; i++) {
+      String number = System.nanoTime() + "-" + i;
+      scenario.send("bad", i % 3, "x-" + number, BAD.replace("{n}", number));
+      scenario.sendEvery(25, 8, "sound", "y-" + number + "-{n}", SOUND);
+    }
+  }
+
+  private static void check(CrashScenario scenario) throws Exception {
+    scenario.results("");
+    List<Long> crashes = scenario.servers().crashMillis();
+    assertThat(crashes).hasSizeGreaterThanOrEqualTo(3);
+    long lastMillis = crashes.get(Math.min(CRASHES, crashes.size()) - 1);
+    assertThat(scenario.arrivalsSince(lastMillis + STABLE_MILLIS, ",bad:"))
+        .as(
+            "arrivals later than %d ms after %d of %d crashes",
+            STABLE_MILLIS, CRASHES, crashes.size())
+        .isLessThanOrEqualTo(MAX_LATER_ARRIVALS);
+    assertThat(scenario.servedShare("sound", lastMillis + 1_000)).isGreaterThan(0.95);
+  }
+
+  private static CrashScenario scenario(RequestKind kind, boolean resumable) throws Exception {
+    return new CrashScenario(
+        TestGateway.route(kind, resumable),
+        SERVERS,
+        TIMING,
+        head -> StubServer.header(head, "prompt").contains(",bad:"));
+  }
+}
