Refuse requests with a part of their prompts that has crashed three servers

Cause: what such requests have in common is one part of their prompts, and the fingerprint by which nodes recognise a request was that of its whole content, which never comes twice.

Change: a request has a fingerprint for each part of its prompt but the last one, beside that of its content; crashes, successes and verdicts are about fingerprints, as before. Of two that explain the same crashes the more specific one is blamed (content before later parts before earlier ones), so that the first part, which sound requests share, is not condemned for a later one. A part is condemned for crashes that a verdict on a content explains as soon as it explains two more: by the fifth crash.

Ruled out: memory (the crashes follow the part at idle servers too, in the tests); a verdict on the route or model, which sound requests share.

--- a/core/src/main/java/io/nutmegseam/core/crash/CrashLedger.java
+++ b/core/src/main/java/io/nutmegseam/core/crash/CrashLedger.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 
 /**
@@ -17,12 +18,20 @@
  * <p>A fingerprint is condemned if it ran at {@link #CRASHES_FOR_VERDICT} crashes that no condemned
  * fingerprint explains and has never run to its end on the software that crashed. Whatever only ran
  * beside the cause of a crash is acquitted by its next successful run, or has the crash explained
- * by the verdict on the cause.
+ * by the verdict on the cause. The content of one request may be condemned for a part of its prompt
+ * that other requests have as well: what is less specific is condemned for the same crashes as soon
+ * as it explains {@link #FURTHER_CRASHES} more.
  */
 public final class CrashLedger {
   /** Number of unexplained crashes that condemn a fingerprint. */
   public static final int CRASHES_FOR_VERDICT = 3;
 
+  /**
+   * Number of crashes without any explanation that condemn a fingerprint if others of its crashes
+   * are explained by a more specific one only.
+   */
+  private static final int FURTHER_CRASHES = 2;
+
   /** Time for other nodes to report successful runs of the suspects of a crash. */
   private static final long SETTLE_MILLIS = 250;
 
@@ -90,16 +99,19 @@
    */
   public CrashLedger withCrash(CrashReport report, long sinceMillis, long nowMillis) {
     Crash before = crashByProcess.get(report.process());
-    Set<Fingerprint> suspects = new HashSet<>();
+    Map<Fingerprint, Integer> suspects = new HashMap<>();
     if (before != null) {
-      suspects.addAll(before.report().suspects());
-    }
-    for (Fingerprint suspect : report.suspects()) {
-      if (suspects.size() < MAX_SUSPECTS) {
-        suspects.add(suspect);
-      }
+      suspects.putAll(before.report().suspects());
     }
-    if (before != null && before.report().suspects().size() == suspects.size()) {
+    report
+        .suspects()
+        .forEach(
+            (suspect, specificity) -> {
+              if (suspects.size() < MAX_SUSPECTS || suspects.containsKey(suspect)) {
+                suspects.merge(suspect, specificity, Math::max);
+              }
+            });
+    if (before != null && before.report().suspects().equals(suspects)) {
       return this;
     }
     Map<String, Crash> next = new LinkedHashMap<>(crashByProcess);
@@ -127,9 +139,9 @@
     Map<String, Crash> next = new LinkedHashMap<>(crashByProcess);
     next.remove(process);
     Map<Fingerprint, CrashVerdict> nextVerdicts = new HashMap<>(verdicts);
-    for (Fingerprint suspect : removed.report().suspects()) {
+    for (Fingerprint suspect : removed.report().suspects().keySet()) {
       long support =
-          next.values().stream().filter(c -> c.report().suspects().contains(suspect)).count();
+          next.values().stream().filter(c -> c.report().suspects().containsKey(suspect)).count();
       if (isCondemned(suspect) && support < CRASHES_FOR_VERDICT) {
         nextVerdicts.computeIfPresent(suspect, (f, verdict) -> lifted(verdict, utcMillis));
       }
@@ -168,7 +180,7 @@
         .anyMatch(
             crash ->
                 crash.report().software().equals(run.software())
-                    && crash.report().suspects().contains(run.fingerprint()));
+                    && crash.report().suspects().containsKey(run.fingerprint()));
   }
 
   /** Returns the ledger with a verdict of another node, unless it has ended. */
@@ -239,7 +251,7 @@
   private CrashLedger withCondemned(Fingerprint fingerprint, long utcMillis) {
     Set<String> software = new HashSet<>();
     for (Crash crash : crashByProcess.values()) {
-      if (crash.report().suspects().contains(fingerprint)) {
+      if (crash.report().suspects().containsKey(fingerprint)) {
         software.add(crash.report().software());
       }
     }
@@ -256,27 +268,67 @@
     List<Crash> settled = new ArrayList<>(crashByProcess.values());
     settled.removeIf(crash -> nowMillis - crash.updatedMillis() < SETTLE_MILLIS);
     return strikes(settled).entrySet().stream()
-        .filter(entry -> entry.getValue() >= CRASHES_FOR_VERDICT)
+        .filter(entry -> entry.getValue().isCause())
         .max(Map.Entry.comparingByValue())
         .map(Map.Entry::getKey);
   }
 
-  /** Returns the number of unexplained crashes of each suspect that is not acquitted. */
-  private Map<Fingerprint, Integer> strikes(Collection<Crash> crashes) {
-    Map<Fingerprint, Integer> strikes = new HashMap<>();
+  /** Returns the crashes that speak against each suspect, unless it is acquitted. */
+  private Map<Fingerprint, Strikes> strikes(Collection<Crash> crashes) {
+    Map<Fingerprint, Strikes> strikes = new HashMap<>();
     for (Crash crash : crashes) {
       CrashReport report = crash.report();
-      if (report.suspects().stream().noneMatch(this::isCondemned)) {
-        for (Fingerprint suspect : report.suspects()) {
-          if (!successfulRuns.contains(new Run(suspect, report.software()))) {
-            strikes.merge(suspect, 1, Integer::sum);
-          }
-        }
-      }
+      OptionalInt explanation =
+          report.suspects().entrySet().stream()
+              .filter(suspect -> isCondemned(suspect.getKey()))
+              .mapToInt(Map.Entry::getValue)
+              .min();
+      report
+          .suspects()
+          .forEach(
+              (suspect, specificity) -> {
+                boolean explained =
+                    explanation.isPresent() && explanation.getAsInt() <= specificity;
+                if (!explained && !successfulRuns.contains(new Run(suspect, report.software()))) {
+                  strikes.merge(
+                      suspect,
+                      new Strikes(explanation.isEmpty() ? 1 : 0, 1, specificity),
+                      Strikes::plus);
+                }
+              });
     }
     return strikes;
   }
 
+  /**
+   * The crashes that speak against a fingerprint.
+   *
+   * @param unexplained number of crashes that no condemned fingerprint explains
+   * @param total number of crashes that no condemned fingerprint explains which is at most as
+   *     specific
+   * @param specificity specificity of the fingerprint
+   */
+  private record Strikes(int unexplained, int total, int specificity)
+      implements Comparable<Strikes> {
+    private Strikes plus(Strikes other) {
+      return new Strikes(
+          unexplained + other.unexplained,
+          total + other.total,
+          Math.max(specificity, other.specificity));
+    }
+
+    private boolean isCause() {
+      return total >= CRASHES_FOR_VERDICT && unexplained >= FURTHER_CRASHES;
+    }
+
+    @Override
+    public int compareTo(Strikes other) {
+      return Comparator.comparingInt(Strikes::unexplained)
+          .thenComparingInt(Strikes::specificity)
+          .compare(this, other);
+    }
+  }
+
   private boolean isCondemned(Fingerprint fingerprint) {
     CrashVerdict verdict = verdicts.get(fingerprint);
     return verdict != null && verdict.condemned();
@@ -286,7 +338,7 @@
   public int crashCount(Fingerprint fingerprint) {
     return (int)
         crashByProcess.values().stream()
-            .filter(crash -> crash.report().suspects().contains(fingerprint))
+            .filter(crash -> crash.report().suspects().containsKey(fingerprint))
             .count();
   }
 
@@ -294,6 +346,8 @@
   public CrashView view() {
     Map<Fingerprint, CrashVerdict> condemned = new HashMap<>(verdicts);
     condemned.values().removeIf(verdict -> !verdict.condemned());
-    return new CrashView(condemned, strikes(crashByProcess.values()));
+    Map<Fingerprint, Integer> unexplained = new HashMap<>();
+    strikes(crashByProcess.values()).forEach((f, s) -> unexplained.put(f, s.unexplained()));
+    return new CrashView(condemned, unexplained);
   }
 }
--- a/core/src/test/java/io/nutmegseam/core/crash/CrashLedgerTest.java
+++ b/core/src/test/java/io/nutmegseam/core/crash/CrashLedgerTest.java
@@ -95,6 +95,72 @@
     }
   }
 
+  /** Parts of prompts, which requests share: a digit says at which place the part stands. */
+  @Nested
+  class Parts {
+    @Test
+    void should_condemn_the_later_of_two_parts_that_ran_at_the_same_crashes() {
+      CrashLedger ledger =
+          crashes(CrashLedger.empty(), "a first0 bad1", "b first0 bad1", "c first0 bad1");
+      assertThat(condemned(ledger.settle(SETTLED_MILLIS, 0))).containsExactly(id("bad1"));
+    }
+
+    @Test
+    void should_not_condemn_the_first_part_for_crashes_that_a_later_part_explains() {
+      // GIVEN a neighbour with the same first part, which has not run to its end of late
+      CrashLedger ledger =
+          crashes(
+                  CrashLedger.empty(),
+                  "a first0 bad1 n1 first0",
+                  "b first0 bad1",
+                  "c first0 bad1",
+                  "d first0 bad1",
+                  "e first0 bad1")
+              .settle(SETTLED_MILLIS, 0);
+      // WHEN a server crashes on its own while it runs the neighbour
+      CrashLedger after = ledger.withCrash(report("other", "m first0 n1"), 0, 0);
+      // THEN
+      assertThat(condemned(after.settle(SETTLED_MILLIS, 0))).containsExactly(id("bad1"));
+    }
+
+    @Test
+    void should_condemn_the_content_if_no_other_request_crashed_with_its_parts() {
+      CrashLedger ledger =
+          crashes(CrashLedger.empty(), "same first0 p1", "same first0 p1", "same first0 p1");
+      assertThat(condemned(ledger.settle(SETTLED_MILLIS, 0))).containsExactly(id("same"));
+    }
+
+    @Test
+    void should_condemn_a_part_after_the_content_by_the_fifth_crash() {
+      // GIVEN the repeats of one request crashed three servers
+      CrashLedger ledger =
+          crashes(CrashLedger.empty(), "same f0 bad1", "same f0 bad1", "same f0 bad1")
+              .settle(SETTLED_MILLIS, 0);
+      // WHEN
+      ledger =
+          ledger
+              .withSuccess(id("f0"), SOFTWARE, 0)
+              .withCrash(report("p4", "b f0 bad1"), 0, 0)
+              .withCrash(report("p5", "c f0 bad1"), 0, 0);
+      // THEN
+      assertThat(condemned(ledger.settle(SETTLED_MILLIS, 0))).contains(id("bad1"));
+    }
+
+    @Test
+    void should_condemn_a_part_beside_sound_requests_that_share_the_first_one() {
+      CrashLedger ledger =
+          crashes(
+                  CrashLedger.empty(),
+                  "a f0 bad1 s f0 s1",
+                  "b f0 bad1 s f0 s1",
+                  "c f0 bad1 s f0 s1")
+              .withSuccess(id("f0"), SOFTWARE, 0)
+              .withSuccess(id("s1"), SOFTWARE, 0)
+              .withSuccess(id("s"), SOFTWARE, 0);
+      assertThat(condemned(ledger.settle(SETTLED_MILLIS, 0))).containsExactly(id("bad1"));
+    }
+  }
+
   @Nested
   class Successes {
     @Test
@@ -145,7 +211,7 @@
       for (int crash = 0; crash < 500; crash++) {
         StringBuilder suspects = new StringBuilder();
         for (int i = 0; i < 2_000; i++) {
-          suspects.append("s").append(crash * 2_000 + i).append(' ');
+          suspects.append(crash * 2_000 + i).append("s").append(' ');
         }
         ledger = ledger.withCrash(report("p" + crash, suspects.toString().trim()), 0, 0);
       }
@@ -179,8 +245,14 @@
         process,
         SOFTWARE,
         Arrays.stream(suspects.split(" ", -1))
-            .map(CrashLedgerTest::id)
-            .collect(Collectors.toSet()));
+            .collect(
+                Collectors.toMap(CrashLedgerTest::id, CrashLedgerTest::specificity, (a, b) -> a)));
+  }
+
+  /** A digit at the end of a name is its specificity; without one it is that of a content. */
+  private static int specificity(String name) {
+    char last = name.charAt(name.length() - 1);
+    return Character.isDigit(last) ? last - '0' : 100;
   }
 
   private static Fingerprint id(String name) {
--- a/node/src/main/java/io/nutmegseam/node/crash/CrashCodec.java
+++ b/node/src/main/java/io/nutmegseam/node/crash/CrashCodec.java
@@ -3,9 +3,12 @@
 import io.nutmegseam.core.crash.CrashReport;
 import io.nutmegseam.core.crash.CrashVerdict;
 import io.nutmegseam.core.crash.Fingerprint;
+import io.nutmegseam.node.peer.generated.CrashSuspect;
 import io.nutmegseam.node.peer.generated.ProcessCrash;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -14,17 +17,29 @@
   private CrashCodec() {}
 
   static ProcessCrash encode(CrashReport report, long ageMillis) {
-    return ProcessCrash.newBuilder()
-        .setProcess(report.process())
-        .setSoftware(report.software())
-        .addAllSuspects(bits(report.suspects()))
-        .setAgeMillis(ageMillis)
-        .build();
+    ProcessCrash.Builder message =
+        ProcessCrash.newBuilder()
+            .setProcess(report.process())
+            .setSoftware(report.software())
+            .setAgeMillis(ageMillis);
+    report
+        .suspects()
+        .forEach(
+            (suspect, specificity) ->
+                message.addSuspects(
+                    CrashSuspect.newBuilder()
+                        .setFingerprint(suspect.bits())
+                        .setSpecificity(specificity)));
+    return message.build();
   }
 
   static CrashReport decode(ProcessCrash message) {
-    return new CrashReport(
-        message.getProcess(), message.getSoftware(), fingerprints(message.getSuspectsList()));
+    Map<Fingerprint, Integer> suspects = new HashMap<>();
+    for (CrashSuspect suspect : message.getSuspectsList()) {
+      suspects.merge(
+          new Fingerprint(suspect.getFingerprint()), suspect.getSpecificity(), Math::max);
+    }
+    return new CrashReport(message.getProcess(), message.getSoftware(), suspects);
   }
 
   static io.nutmegseam.node.peer.generated.CrashVerdict encode(CrashVerdict verdict) {
--- a/node/src/main/java/io/nutmegseam/node/crash/CrashControl.java
+++ b/node/src/main/java/io/nutmegseam/node/crash/CrashControl.java
@@ -82,7 +82,7 @@
     events.record(
         EventKind.SERVER_CRASHED,
         report.process(),
-        "%s, %s, ran %s".formatted(evidence, report.software(), report.suspects()));
+        "%s, %s, ran %s".formatted(evidence, report.software(), report.suspects().keySet()));
     observedProcesses.add(report.process());
     apply("", CrashNews.newBuilder().addCrashes(CrashCodec.encode(report, 0)).build());
   }
@@ -158,7 +158,7 @@
     Set<Fingerprint> condemned = next.view().condemned().keySet();
     return next.crashes().stream()
         .filter(crash -> observedProcesses.contains(crash.process()))
-        .anyMatch(crash -> crash.suspects().stream().anyMatch(condemned::contains));
+        .anyMatch(crash -> crash.suspects().keySet().stream().anyMatch(condemned::contains));
   }
 
   private void greetNewPeers() {
--- a/node/src/main/java/io/nutmegseam/node/gateway/Attempt.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/Attempt.java
@@ -6,10 +6,8 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.concurrent.ScheduledFuture;
-import io.nutmegseam.core.crash.Fingerprint;
 import io.nutmegseam.core.event.EventKind;
 import io.nutmegseam.core.fleet.ServerEntry;
-import java.util.Collection;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
@@ -55,7 +53,7 @@
     boolean isFailureWithheld(HttpStatusClass statusClass);
 
     /** Returns the fingerprints by which the request is recognised if it crashes servers. */
-    Collection<Fingerprint> fingerprints();
+    RequestFingerprints fingerprints();
 
     /** Handles the head of a response that is to be forwarded. */
     void onHead(HttpResponse head);
--- a/node/src/main/java/io/nutmegseam/node/gateway/CrashDetector.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/CrashDetector.java
@@ -5,12 +5,9 @@
 import io.nutmegseam.core.fleet.Incarnation;
 import io.nutmegseam.core.fleet.ServerEntry;
 import java.time.InstantSource;
-import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
@@ -53,7 +50,7 @@
   private static final class Loss {
     private final ServerEntry server;
     private final long sinceMillis;
-    private final Set<Fingerprint> suspects = new HashSet<>();
+    private final Map<Fingerprint, Integer> suspects = new HashMap<>();
     private boolean crashed;
 
     private Loss(ServerEntry server, long sinceMillis) {
@@ -85,7 +82,7 @@
   }
 
   /** Handles a connection that was lost while the server ran a request. */
-  void onConnectionLost(ServerEntry server, Collection<Fingerprint> suspects) {
+  void onConnectionLost(ServerEntry server, RequestFingerprints fingerprints) {
     Loss loss = lossByServer.get(server.incarnation());
     if (loss == null) {
       if (!state.isServing(server) || lossByServer.size() >= MAX_LOSSES) {
@@ -96,8 +93,9 @@
       probe(loss, 0);
       scheduleCheck();
     }
-    boolean added = loss.suspects.addAll(suspects);
-    if (loss.crashed && added) {
+    int before = loss.suspects.size();
+    loss.suspects.putAll(fingerprints.specificities());
+    if (loss.crashed && loss.suspects.size() > before) {
       report(loss, "connection lost at the crash");
     }
   }
--- a/node/src/main/java/io/nutmegseam/node/gateway/CrashGuard.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/CrashGuard.java
@@ -44,7 +44,7 @@
   /** A request in progress. */
   interface Guarded {
     /** Returns the fingerprints of the request. */
-    Collection<Fingerprint> fingerprints();
+    RequestFingerprints fingerprints();
 
     /** Handles a verdict that was reached after the request had been admitted. */
     void onCondemned(CrashVerdict verdict);
@@ -79,19 +79,19 @@
   }
 
   /** Returns the verdict by which a request must not be sent to a server, if there is one. */
-  Optional<CrashVerdict> findVerdict(Collection<Fingerprint> fingerprints) {
-    Optional<CrashVerdict> verdict = view.findVerdict(fingerprints);
+  Optional<CrashVerdict> findVerdict(RequestFingerprints fingerprints) {
+    Optional<CrashVerdict> verdict = view.findVerdict(fingerprints.all());
     verdict.ifPresent(found -> listener.onRefusal(found.fingerprint()));
     return verdict;
   }
 
   /** Returns whether a request that may have run can be sent to another server. */
-  boolean isRetryAllowed(Collection<Fingerprint> fingerprints) {
-    return view.maxStrikes(fingerprints) < STRIKES_WITHOUT_RETRY;
+  boolean isRetryAllowed(RequestFingerprints fingerprints) {
+    return view.maxStrikes(fingerprints.all()) < STRIKES_WITHOUT_RETRY;
   }
 
   /** Handles a connection that was lost while the server ran a request. */
-  void onConnectionLost(ServerEntry server, Collection<Fingerprint> fingerprints) {
+  void onConnectionLost(ServerEntry server, RequestFingerprints fingerprints) {
     detector.onConnectionLost(server, fingerprints);
   }
 
@@ -102,7 +102,7 @@
    * @param fingerprints fingerprints of the request
    * @param framing how the end of the response was marked; a connection also ends with a crash
    */
-  void onSucceeded(ServerEntry server, Collection<Fingerprint> fingerprints, BodyFraming framing) {
+  void onSucceeded(ServerEntry server, RequestFingerprints fingerprints, BodyFraming framing) {
     if (framing == BodyFraming.CONNECTION) {
       detector.onConnectionLost(server, fingerprints);
       timer.schedule(
@@ -117,9 +117,9 @@
     }
   }
 
-  private void recordSuccess(String software, Collection<Fingerprint> fingerprints) {
-    fingerprints.forEach(fingerprint -> recentRuns.add(fingerprint, software));
-    List<Fingerprint> suspects = fingerprints.stream().filter(this::isSuspect).toList();
+  private void recordSuccess(String software, RequestFingerprints fingerprints) {
+    fingerprints.all().forEach(fingerprint -> recentRuns.add(fingerprint, software));
+    List<Fingerprint> suspects = fingerprints.all().stream().filter(this::isSuspect).toList();
     if (!suspects.isEmpty()) {
       listener.onSuccess(software, suspects);
     }
@@ -132,7 +132,7 @@
   /** Reports which suspects of a crash ran to their end at this node of late. */
   void onReport(CrashReport report) {
     List<Fingerprint> acquitted =
-        report.suspects().stream()
+        report.suspects().keySet().stream()
             .filter(suspect -> recentRuns.contains(suspect, report.software()))
             .toList();
     if (!acquitted.isEmpty()) {
@@ -146,7 +146,7 @@
     view = next;
     if (moreVerdicts) {
       for (Guarded request : List.copyOf(guarded)) {
-        next.findVerdict(request.fingerprints()).ifPresent(request::onCondemned);
+        next.findVerdict(request.fingerprints().all()).ifPresent(request::onCondemned);
       }
     }
   }
--- a/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
@@ -6,14 +6,11 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.nutmegseam.core.crash.CrashVerdict;
-import io.nutmegseam.core.crash.Fingerprint;
 import io.nutmegseam.core.error.RanStatus;
 import io.nutmegseam.core.error.RequestException;
 import io.nutmegseam.core.fleet.ServerEntry;
 import io.nutmegseam.core.fleet.StreamOrigin;
 import io.nutmegseam.core.gateway.RequestKind;
-import java.util.Collection;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -149,8 +146,8 @@
   }
 
   @Override
-  public Collection<Fingerprint> fingerprints() {
-    return List.of(fingerprints.content());
+  public RequestFingerprints fingerprints() {
+    return fingerprints;
   }
 
   /** Ends the request unless a server has begun to respond, which may still turn out well. */
--- a/node/src/main/java/io/nutmegseam/node/gateway/RequestFingerprints.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/RequestFingerprints.java
@@ -3,8 +3,10 @@
 import io.nutmegseam.core.crash.Fingerprint;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 
 /**
  * Fingerprints by which a request is recognised when it comes again, or what it has in common with
@@ -19,6 +21,9 @@
   private static final String PART = "part";
   private static final int MAX_PARTS = 32;
 
+  /** Specificity of the content; higher than that of any part. */
+  private static final int CONTENT_SPECIFICITY = 100;
+
   /** Creates the fingerprints with a copy of the list. */
   RequestFingerprints {
     sharedParts = List.copyOf(sharedParts);
@@ -34,6 +39,24 @@
     return new RequestFingerprints(ofContent(request), ofSharedParts(request, names));
   }
 
+  /** Returns all fingerprints, the content first. */
+  List<Fingerprint> all() {
+    List<Fingerprint> all = new ArrayList<>();
+    all.add(content);
+    all.addAll(sharedParts);
+    return all;
+  }
+
+  /** Returns the specificity of each fingerprint: later parts are shared by fewer requests. */
+  Map<Fingerprint, Integer> specificities() {
+    Map<Fingerprint, Integer> specificities = new HashMap<>();
+    for (int i = 0; i < sharedParts.size(); i++) {
+      specificities.put(sharedParts.get(i), i);
+    }
+    specificities.put(content, CONTENT_SPECIFICITY);
+    return specificities;
+  }
+
   private static Fingerprint ofContent(InboundRequest request) {
     return Fingerprint.builder()
         .add(request.method().name())
--- a/node/src/test/java/io/nutmegseam/node/crash/CrashNetwork.java
+++ b/node/src/test/java/io/nutmegseam/node/crash/CrashNetwork.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -211,9 +212,9 @@
   }
 
   void crash(String node, String process, String... suspects) {
-    Set<Fingerprint> fingerprints = new HashSet<>();
+    Map<Fingerprint, Integer> fingerprints = new HashMap<>();
     for (String suspect : suspects) {
-      fingerprints.add(id(suspect));
+      fingerprints.put(id(suspect), 1);
     }
     nodeByName
         .get(node)
--- a/node/src/test/java/io/nutmegseam/node/gateway/CrashScenario.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/CrashScenario.java
@@ -76,7 +76,8 @@
    */
   void send(String label, int node, String path, String headers) {
     String id = "r" + lastRequest.incrementAndGet();
-    pending.add(callers.submit(() -> exchange(id, label, NODES.get(node), path, headers)));
+    pending.add(
+        callers.submit(() -> exchange(id, label, NODES.get(node % NODES.size()), path, headers)));
   }
 
   /** Sends a request to each node in turn, at an interval. */
--- a/node/src/test/java/io/nutmegseam/node/gateway/CrashingPartTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/CrashingPartTest.java
@@ -5,7 +5,6 @@
 import io.nutmegseam.core.gateway.RequestKind;
 import java.util.List;
 import org.junit.jupiter.api.Nested;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -27,7 +26,6 @@
   private static final String SOUND = "prompt: f00d:96,5e55{n}:30,d{n}:200\r\n";
 
   @Nested
-  @Tag("known-red")
   class NoTwoAlike {
     @Test
     void should_not_send_requests_with_a_part_to_servers_after_it_crashed_five() throws Exception {
@@ -62,6 +60,56 @@
     }
   }
 
+  /** Sound requests share the first part with those that crash servers, and parts among them. */
+  @Nested
+  class Sound {
+    @Test
+    void should_serve_sound_requests_as_often_as_without_the_fault() throws Exception {
+      double shareWithFault;
+      double shareWithout;
+      try (CrashScenario scenario = scenario(RequestKind.STREAMING, false)) {
+        play(scenario, 24);
+        scenario.results("");
+        long verdictMillis = scenario.servers().crashMillis().get(2) + 500;
+        shareWithFault = scenario.servedShare("sound", verdictMillis);
+      }
+      try (CrashScenario scenario = scenario(RequestKind.STREAMING, false)) {
+        scenario.sendEvery(25, 24 * 8, "sound", "y-{n}", SOUND);
+        shareWithout = scenario.servedShare("sound", 0);
+      }
+      assertThat(shareWithFault).isGreaterThan(shareWithout - 0.02);
+    }
+
+    @Test
+    void should_condemn_no_part_for_crashes_of_other_causes() throws Exception {
+      try (CrashScenario scenario = scenario(RequestKind.STREAMING, false)) {
+        // GIVEN a few parts that all requests share, and servers that crash on their own
+        for (int i = 0; i < 6; i++) {
+          for (int session = 0; session < 20; session++) {
+            String prompt = "prompt: f00d:96,5e55%d:30,e%d-%d:200\r\n";
+            scenario.send(
+                "sound",
+                session,
+                "z-" + i + "-" + session,
+                prompt.formatted(session % 4, i, session));
+            Thread.sleep(10);
+          }
+          scenario.servers().crash(i);
+        }
+        Thread.sleep(500);
+        // WHEN
+        long calmMillis = System.currentTimeMillis();
+        for (int session = 0; session < 40; session++) {
+          String prompt = "prompt: f00d:96,5e55%d:30,g%d:200\r\n";
+          scenario.send("sound", session, "w-" + session, prompt.formatted(session % 4, session));
+          Thread.sleep(10);
+        }
+        // THEN
+        assertThat(scenario.servedShare("sound", calmMillis)).isGreaterThan(0.95);
+      }
+    }
+  }
+
   /** Sends requests with the part at all nodes, beside sound ones with the same first part. */
   private static void play(CrashScenario scenario, int rounds) throws InterruptedException {
     for (int i = 0; i < rounds; i++) {
