Use the ledger of crashes for strikes on the product's own path

StrikeRegistry counted crashes for the product's own path, in a second model that successful runs did not correct: a request that only ran beside two crashes of other causes was refused for 10 min. StrikeControl now keeps a CrashLedger and sends CrashNews; a run that succeeds takes the strikes of its request back, at all nodes.

--- a/core/src/main/java/io/nutmegseam/core/crash/CrashLedger.java
+++ b/core/src/main/java/io/nutmegseam/core/crash/CrashLedger.java
@@ -240,7 +240,13 @@
     return next;
   }
 
-  private CrashLedger withoutExpired(long nowMillis, long utcMillis) {
+  /**
+   * Returns the ledger without crashes and verdicts that have expired.
+   *
+   * @param nowMillis monotonic time
+   * @param utcMillis milliseconds since the epoch
+   */
+  public CrashLedger withoutExpired(long nowMillis, long utcMillis) {
     Map<String, Crash> crashes = new LinkedHashMap<>(crashByProcess);
     crashes.values().removeIf(c -> nowMillis - c.sinceMillis() >= CRASH_RETENTION_MILLIS);
     Map<Fingerprint, CrashVerdict> unexpired = new HashMap<>(verdicts);
--- a/core/src/main/java/io/nutmegseam/core/retry/package-info.java
+++ b/core/src/main/java/io/nutmegseam/core/retry/package-info.java
@@ -1,2 +1,2 @@
-/** Limits on retries: the retry budget and the registry of requests that crash servers. */
+/** Limits on retries. */
 package io.nutmegseam.core.retry;
--- a/core/src/test/java/io/nutmegseam/core/crash/CrashLedgerTest.java
+++ b/core/src/test/java/io/nutmegseam/core/crash/CrashLedgerTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.Arrays;
+import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Nested;
@@ -202,6 +203,37 @@
     }
   }
 
+  @Nested
+  class Strikes {
+    @Test
+    void should_recognize_a_recorded_crash() {
+      // GIVEN
+      CrashLedger ledger = CrashLedger.empty().withCrash(report("s@1", "f"), 0, 0);
+      // WHEN
+      boolean recorded = ledger.isCrashRecorded("s@1");
+      boolean unrecorded = ledger.isCrashRecorded("s@2");
+      // THEN
+      assertThat(recorded).isTrue();
+      assertThat(unrecorded).isFalse();
+    }
+
+    @Test
+    void should_count_a_crash_once_and_expire_it_after_the_retention_time() {
+      // GIVEN
+      CrashLedger ledger =
+          CrashLedger.empty()
+              .withCrash(report("s@1", "f"), 0, 0)
+              .withCrash(report("s@1", "f"), 10, 10)
+              .withCrash(report("t@1", "f"), 5 * MINUTE_MILLIS, 5 * MINUTE_MILLIS);
+      // WHEN
+      CrashLedger current = ledger.withoutExpired(6 * MINUTE_MILLIS, 0);
+      CrashLedger later = ledger.withoutExpired(11 * MINUTE_MILLIS, 0);
+      // THEN
+      assertThat(current.view().strikes()).containsExactly(Map.entry(id("f"), 2));
+      assertThat(later.view().strikes()).containsExactly(Map.entry(id("f"), 1));
+    }
+  }
+
   @Nested
   class Bounds {
     @Test
--- a/core/src/test/java/io/nutmegseam/core/routing/RoutingTest.java
+++ b/core/src/test/java/io/nutmegseam/core/routing/RoutingTest.java
@@ -7,7 +7,6 @@
 import io.nutmegseam.core.error.ErrorKind;
 import io.nutmegseam.core.error.RequestException;
 import io.nutmegseam.core.retry.RetryBudget;
-import io.nutmegseam.core.retry.StrikeRegistry;
 import java.util.List;
 import java.util.Random;
 import java.util.stream.IntStream;
@@ -149,34 +148,6 @@
       // THEN
       assertThat(allowed).isBetween(100, 111);
     }
-
-    @Test
-    void should_recognize_a_recorded_crash() {
-      // GIVEN
-      StrikeRegistry registry = StrikeRegistry.of(100).addStrike("f", "s@1", 0);
-      // WHEN
-      boolean recorded = registry.isCrashRecorded("s@1");
-      boolean unrecorded = registry.isCrashRecorded("s@2");
-      // THEN
-      assertThat(recorded).isTrue();
-      assertThat(unrecorded).isFalse();
-    }
-
-    @Test
-    void should_count_a_crash_once_and_expire_it_after_the_retention_time() {
-      // GIVEN
-      StrikeRegistry registry =
-          StrikeRegistry.of(100)
-              .addStrike("f", "s@1", 0)
-              .addStrike("f", "s@1", 10)
-              .addStrike("f", "t@1", 50);
-      // WHEN
-      int current = registry.strikeCount("f", 60);
-      int later = registry.strikeCount("f", 120);
-      // THEN
-      assertThat(current).isEqualTo(2);
-      assertThat(later).isEqualTo(1);
-    }
   }
 
   private static Candidate candidate(String server, double tokensPerSecond, int outstanding) {
--- a/node/src/main/java/io/nutmegseam/node/caller/RequestRouter.java
+++ b/node/src/main/java/io/nutmegseam/node/caller/RequestRouter.java
@@ -138,6 +138,7 @@
       try {
         SentResponse response = dispatch.run(request.withTarget(target, attempt), sink);
         loads.recordOutcome(target.name(), true);
+        strikes.onSucceeded(request.fingerprint());
         return response;
       } catch (AttemptException failure) {
         if (loads.recordOutcome(target.name(), failure.reason().provedNotRun())) {
--- a/node/src/main/java/io/nutmegseam/node/control/NodeControl.java
+++ b/node/src/main/java/io/nutmegseam/node/control/NodeControl.java
@@ -195,7 +195,7 @@
         transport.send(node, response);
       }
       case CONFIG_CHANGES -> config.onPeerChanges(frame.getConfigChanges());
-      case STRIKE_NOTICE -> strikes.onNotice(frame.getStrikeNotice());
+      case CRASH_NEWS -> strikes.onNews(frame.getCrashNews());
       default -> {} // Bodies of newer versions are ignored.
     }
   }
--- a/node/src/main/java/io/nutmegseam/node/crash/CrashCodec.java
+++ b/node/src/main/java/io/nutmegseam/node/crash/CrashCodec.java
@@ -13,10 +13,11 @@
 import java.util.stream.Collectors;
 
 /** Converts crashes and verdicts to messages between nodes, and back. */
-final class CrashCodec {
+public final class CrashCodec {
   private CrashCodec() {}
 
-  static ProcessCrash encode(CrashReport report, long ageMillis) {
+  /** Encodes a crash of a given age. */
+  public static ProcessCrash encode(CrashReport report, long ageMillis) {
     ProcessCrash.Builder message =
         ProcessCrash.newBuilder()
             .setProcess(report.process())
@@ -33,7 +34,8 @@
     return message.build();
   }
 
-  static CrashReport decode(ProcessCrash message) {
+  /** Decodes a crash. */
+  public static CrashReport decode(ProcessCrash message) {
     Map<Fingerprint, Integer> suspects = new HashMap<>();
     for (CrashSuspect suspect : message.getSuspectsList()) {
       suspects.merge(
@@ -65,11 +67,13 @@
         message.getValidUntilMillis());
   }
 
-  static List<Long> bits(Collection<Fingerprint> fingerprints) {
+  /** Returns the bits of some fingerprints. */
+  public static List<Long> bits(Collection<Fingerprint> fingerprints) {
     return fingerprints.stream().map(Fingerprint::bits).toList();
   }
 
-  static Set<Fingerprint> fingerprints(Collection<Long> bits) {
+  /** Returns the fingerprints with some bits. */
+  public static Set<Fingerprint> fingerprints(Collection<Long> bits) {
     return bits.stream().map(Fingerprint::new).collect(Collectors.toSet());
   }
 }
