Avoid a server that refuses connections until its entry lapses

Cause: a refused connection kept a server out of the choice for 300 ms like any refusal, while the entry of a crashed server is listed for about 3.6 s; its refusals used up the attempts of requests. Change: a server whose address has no listener, found by a request or by the probe for a crash, is avoided for 3 s, if other servers can take the request. A cut that refuses connections is no crash, so the server is not excluded.

--- a/node/src/main/java/io/nutmegseam/node/gateway/Attempt.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/Attempt.java
@@ -142,7 +142,7 @@
     context
         .pools()
         .pool(server.host(), server.port())
-        .acquire(maxIdleMillis, this::send, reason -> onFailed(false, reason));
+        .acquire(maxIdleMillis, this::send, this::onConnectFailed);
   }
 
   /** Pauses or resumes reading from the server, for a caller that reads slowly. */
@@ -283,6 +283,13 @@
     }
   }
 
+  private void onConnectFailed(ServerConnectionPool.ConnectFailure failure) {
+    if (failure.refused()) {
+      context.loads().onRefused(serverId());
+    }
+    onFailed(false, failure.reason());
+  }
+
   private void send(ServerConnection acquired) {
     if (state == State.ENDED) {
       acquired.abort();
--- a/node/src/main/java/io/nutmegseam/node/gateway/BufferedHttpClient.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/BufferedHttpClient.java
@@ -108,7 +108,8 @@
       timer = loop.schedule(this::onTimeout, request.timeoutMillis(), TimeUnit.MILLISECONDS);
       pools
           .pool(request.address().host(), request.address().port())
-          .acquire(MAX_IDLE_MILLIS, this::onConnected, reason -> onFailed(false, reason));
+          .acquire(
+              MAX_IDLE_MILLIS, this::onConnected, failure -> onFailed(false, failure.reason()));
     }
 
     private void onConnected(ServerConnection acquired) {
--- a/node/src/main/java/io/nutmegseam/node/gateway/CrashProtection.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/CrashProtection.java
@@ -14,6 +14,7 @@
 import java.time.Clock;
 import java.time.InstantSource;
 import java.util.Collection;
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -38,6 +39,7 @@
       InstantSource clock,
       GatewayState state,
       ServerConnectionPools pools,
+      ServerLoads loads,
       PeerTransport peers,
       VerdictStore.RowWriter writer,
       EventSink events) {}
@@ -82,7 +84,16 @@
         new CrashDetector(
             clock,
             state,
-            (server, onOutcome) -> pools.pool(server.host(), server.port()).probe(onOutcome),
+            (server, onOutcome) ->
+                pools
+                    .pool(server.host(), server.port())
+                    .probe(
+                        listens -> {
+                          if (listens.equals(Optional.of(false))) {
+                            dependencies.loads().onRefused(server.incarnation().id());
+                          }
+                          onOutcome.accept(listens);
+                        }),
             timer,
             (report, evidence) -> thread.execute(() -> control.onCrash(report, evidence)));
     return new CrashGuard(
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
@@ -119,11 +119,12 @@
     ServerConnectionPools pools = new ServerConnectionPools(loop, headers.requestId(), clock);
     ModelWaitQueue waitQueue = new ModelWaitQueue(this::reportDemandSoon);
     this.network = createNetwork();
+    ServerLoads loads = new ServerLoads(clock);
     this.crashes =
         new CrashProtection(
             new CrashProtection.Dependencies(
-                loop, thread, clock, state, pools, network, this::writeOwnRow, events));
-    this.traffic = createTrafficContext(headers, pools, waitQueue);
+                loop, thread, clock, state, pools, loads, network, this::writeOwnRow, events));
+    this.traffic = createTrafficContext(headers, pools, loads, waitQueue);
     this.demandReporter =
         new DemandReporter(
             thread, loop, traffic.arrivals(), waitQueue, traffic.loads(), clock, this::sendReport);
@@ -156,8 +157,10 @@
   }
 
   private TrafficContext createTrafficContext(
-      GatewayHeaders headers, ServerConnectionPools pools, ModelWaitQueue waitQueue) {
-    ServerLoads loads = new ServerLoads(clock);
+      GatewayHeaders headers,
+      ServerConnectionPools pools,
+      ServerLoads loads,
+      ModelWaitQueue waitQueue) {
     return new TrafficContext(
         loop,
         clock,
--- a/node/src/main/java/io/nutmegseam/node/gateway/ServerConnectionPool.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/ServerConnectionPool.java
@@ -33,6 +33,14 @@
   private final Deque<IdleConnection> idle = new ArrayDeque<>();
   private int open;
 
+  /**
+   * A connection that could not be opened.
+   *
+   * @param reason what happened, for logs and error messages
+   * @param refused whether nothing listens at the address
+   */
+  record ConnectFailure(String reason, boolean refused) {}
+
   private record IdleConnection(ServerConnection connection, long sinceMillis) {}
 
   /**
@@ -73,7 +81,9 @@
    * @param onFailure receives the reason if no connection can be opened
    */
   void acquire(
-      long maxIdleMillis, Consumer<ServerConnection> onAcquired, Consumer<String> onFailure) {
+      long maxIdleMillis,
+      Consumer<ServerConnection> onAcquired,
+      Consumer<ConnectFailure> onFailure) {
     long nowMillis = clock.millis();
     while (!idle.isEmpty()) {
       IdleConnection candidate = idle.pollLast();
@@ -86,9 +96,7 @@
       }
       candidate.connection().abort();
     }
-    connect(
-        onAcquired,
-        failure -> onFailure.accept("cannot connect to " + host + ":" + port + ": " + failure));
+    connect(onAcquired, onFailure);
   }
 
   /**
@@ -102,12 +110,13 @@
           idle.addLast(new IdleConnection(connection, clock.millis()));
           onOutcome.accept(Optional.of(true));
         },
-        failure -> onOutcome.accept(isRefusal(failure) ? Optional.of(false) : Optional.empty()));
+        failure -> onOutcome.accept(failure.refused() ? Optional.of(false) : Optional.empty()));
   }
 
-  /** Returns whether nothing listens at the address. */
-  private static boolean isRefusal(Throwable failure) {
-    return failure instanceof ConnectException && !(failure instanceof ConnectTimeoutException);
+  private ConnectFailure connectFailure(Throwable cause) {
+    boolean refused =
+        cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+    return new ConnectFailure("cannot connect to " + host + ":" + port + ": " + cause, refused);
   }
 
   /** Closes the connections that have been idle for longer than a time or cannot be used. */
@@ -124,7 +133,7 @@
         });
   }
 
-  private void connect(Consumer<ServerConnection> onAcquired, Consumer<Throwable> onFailure) {
+  private void connect(Consumer<ServerConnection> onAcquired, Consumer<ConnectFailure> onFailure) {
     ResponseDecoder decoder = new ResponseDecoder();
     ServerConnection connection =
         new ServerConnection(
@@ -156,7 +165,7 @@
                 onAcquired.accept(connection);
               } else {
                 open--;
-                onFailure.accept(done.cause());
+                onFailure.accept(connectFailure(done.cause()));
               }
             });
   }
--- a/node/src/main/java/io/nutmegseam/node/gateway/ServerLoads.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/ServerLoads.java
@@ -18,6 +18,9 @@
   /** State of a server without requests in flight is removed after this time without a report. */
   private static final long STATE_RETENTION_MILLIS = 60_000;
 
+  /** A process that has ended is avoided for this time, until its entry lapses. */
+  private static final long REFUSED_PAUSE_MILLIS = 3_000;
+
   /** Fewer requests without a response are no sign of a queue; they may be slow themselves. */
   private static final int MIN_AWAITING = 2;
 
@@ -117,7 +120,13 @@
 
   /** Records that a server has no capacity; it is avoided for the given time in milliseconds. */
   void onFull(String server, long pauseMillis) {
-    state(server).fullUntilMillis = clock.millis() + pauseMillis;
+    State state = state(server);
+    state.fullUntilMillis = Math.max(state.fullUntilMillis, clock.millis() + pauseMillis);
+  }
+
+  /** Records that nothing listens at the address of a server, whose process has ended. */
+  void onRefused(String server) {
+    onFull(server, REFUSED_PAUSE_MILLIS);
   }
 
   /** Records a complete response of a server. */
--- a/node/src/test/java/io/nutmegseam/node/gateway/CrashingRequestTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/CrashingRequestTest.java
@@ -103,6 +103,31 @@
       }
     }
 
+    /** Entries of crashed servers lapse only later, and there are more of them than attempts. */
+    @Test
+    void should_not_refuse_requests_for_servers_that_are_known_to_have_crashed() throws Exception {
+      try (CrashScenario scenario = scenario(RequestKind.IDEMPOTENT)) {
+        // GIVEN six of eight servers crash while requests of all nodes run on them
+        for (int round = 0; round < 3; round++) {
+          for (int i = 0; i < 24; i++) {
+            scenario.send("before", i, "before-" + round + "-" + i, "");
+          }
+          Thread.sleep(10);
+          scenario.servers().crash(2 * round);
+          scenario.servers().crash(2 * round + 1);
+          Thread.sleep(60);
+        }
+        scenario.results("before");
+        Thread.sleep(600);
+        // WHEN
+        for (int i = 0; i < 12; i++) {
+          scenario.send("after", i, "after-" + i, "");
+        }
+        // THEN
+        assertThat(scenario.servedShare("after", 0)).isEqualTo(1);
+      }
+    }
+
     @Test
     void should_serve_a_request_whose_connections_were_reset() throws Exception {
       try (CrashScenario scenario = scenario(RequestKind.IDEMPOTENT)) {
--- a/node/src/test/java/io/nutmegseam/node/gateway/TestGateway.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/TestGateway.java
@@ -89,6 +89,7 @@
                         clock,
                         state,
                         new ServerConnectionPools(loop, HEADERS.requestId(), clock),
+                        loads,
                         new NoPeers(),
                         (key, expectedVersion, value) ->
                             CompletableFuture.completedFuture(Optional.empty()),
