Send acquittals along with crashes to a node that connects

A restarted node learned the crashes of the last ten minutes from its peers, but not which suspects had run to their end since.

The ledger's acquittals are now part of what a peer gets when it connects; a verdict that contradicts a successful run in the ledger, or one that a node remembers, is lifted.

--- a/core/src/main/java/io/nutmegseam/core/crash/CrashLedger.java
+++ b/core/src/main/java/io/nutmegseam/core/crash/CrashLedger.java
@@ -74,6 +74,15 @@
     return crashByProcess.values().stream().map(Crash::report).toList();
   }
 
+  /** Returns the suspects of crashes that ran to their end, by the software on which they did. */
+  public Map<String, Set<Fingerprint>> acquittedBySoftware() {
+    Map<String, Set<Fingerprint>> acquitted = new HashMap<>();
+    for (Run run : successfulRuns) {
+      acquitted.computeIfAbsent(run.software(), s -> new HashSet<>()).add(run.fingerprint());
+    }
+    return acquitted;
+  }
+
   /** Returns the verdicts, those that were lifted included. */
   public Set<CrashVerdict> verdicts() {
     return Set.copyOf(verdicts.values());
@@ -189,14 +198,22 @@
                     && crash.report().suspects().containsKey(run.fingerprint()));
   }
 
-  /** Returns the ledger with a verdict of another node, unless it has ended. */
+  /**
+   * Returns the ledger with a verdict of another node, unless it has ended. A verdict of a node
+   * that does not know of a successful run is lifted.
+   */
   public CrashLedger withVerdict(CrashVerdict verdict, long utcMillis) {
     CrashVerdict before = verdicts.get(verdict.fingerprint());
     boolean ended = verdict.validUntilMillis() <= utcMillis;
     if (ended || (before != null && verdict.isCoveredBy(before))) {
       return this;
     }
-    return withMergedVerdict(before == null ? verdict : before.merge(verdict));
+    CrashVerdict merged = before == null ? verdict : before.merge(verdict);
+    boolean refuted =
+        merged.condemned()
+            && merged.crashedSoftware().stream()
+                .anyMatch(s -> successfulRuns.contains(new Run(merged.fingerprint(), s)));
+    return withMergedVerdict(refuted ? lifted(merged, utcMillis) : merged);
   }
 
   /** Returns the ledger after a request with a condemned fingerprint has come. */
--- a/node/src/main/java/io/nutmegseam/node/crash/CrashControl.java
+++ b/node/src/main/java/io/nutmegseam/node/crash/CrashControl.java
@@ -270,6 +270,14 @@
     for (CrashReport crash : ledger.crashes()) {
       news.addCrashes(CrashCodec.encode(crash, ledger.crashAgeMillis(crash.process(), nowMillis)));
     }
+    ledger
+        .acquittedBySoftware()
+        .forEach(
+            (software, fingerprints) ->
+                news.addSuccesses(
+                    SuccessfulRuns.newBuilder()
+                        .setSoftware(software)
+                        .addAllFingerprints(CrashCodec.bits(fingerprints))));
     return news.build();
   }
 
--- a/node/src/main/java/io/nutmegseam/node/gateway/CrashGuard.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/CrashGuard.java
@@ -199,11 +199,21 @@
     }
   }
 
+  /** Reports that a condemned fingerprint ran to its end at this node of late. */
+  private void reportRecentRuns(CrashVerdict verdict) {
+    for (String software : verdict.crashedSoftware()) {
+      if (recentRuns.contains(verdict.fingerprint(), software)) {
+        listener.onSuccess(software, List.of(verdict.fingerprint()));
+      }
+    }
+  }
+
   /** Applies a new view of the crashes to further requests and to those in progress. */
   void onView(CrashView next) {
     boolean moreVerdicts = !view.condemned().keySet().containsAll(next.condemned().keySet());
     view = next;
     if (moreVerdicts) {
+      next.condemned().values().forEach(this::reportRecentRuns);
       for (Guarded request : List.copyOf(guarded)) {
         next.findVerdict(request.fingerprints().all()).ifPresent(request::onCondemned);
       }
--- a/node/src/test/java/io/nutmegseam/node/crash/CrashControlTest.java
+++ b/node/src/test/java/io/nutmegseam/node/crash/CrashControlTest.java
@@ -144,6 +144,17 @@
       assertThat(network.refusingNodes("cause")).hasSize(12);
     }
 
+    @Test
+    void should_not_condemn_at_a_restarted_node_what_has_run_to_its_end_before() {
+      startNodes();
+      crashThree();
+      network.succeed("dc2-0", "cause");
+      network.advance(STABLE_MILLIS);
+      network.restart("dc1-1");
+      network.advance(STABLE_MILLIS);
+      assertThat(network.refusingNodes("cause")).isEmpty();
+    }
+
     @Test
     void should_count_crashes_that_were_seen_before_a_node_restarted() {
       startNodes();
--- a/node/src/test/java/io/nutmegseam/node/crash/CrashNetwork.java
+++ b/node/src/test/java/io/nutmegseam/node/crash/CrashNetwork.java
@@ -6,6 +6,7 @@
 import io.nutmegseam.core.platform.Row;
 import io.nutmegseam.node.peer.PeerTransport;
 import io.nutmegseam.node.peer.generated.PeerFrame;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
@@ -31,6 +32,7 @@
   private final PriorityQueue<Task> tasks =
       new PriorityQueue<>(Comparator.comparingLong(Task::atMillis).thenComparing(Task::order));
   private final Map<String, Node> nodeByName = new TreeMap<>();
+  private final Set<String> cutDataCentres = new HashSet<>();
   private final Random random;
   private Optional<Row> row = Optional.empty();
   private long rowVersion = 1;
@@ -50,8 +52,10 @@
     private final String name;
     private final String dataCentre;
     private final Set<String> neighbours = new HashSet<>();
+    private final Set<Fingerprint> recentRuns = new HashSet<>();
     private CrashControl control;
     private CrashView view;
+    private long startedMillis;
     private int incarnation;
     private boolean running;
 
@@ -63,26 +67,42 @@
     private void start() {
       incarnation++;
       running = true;
+      startedMillis = nowMillis;
+      recentRuns.clear();
       view = CrashView.EMPTY;
       control =
           new CrashControl(
               this,
-              () -> java.time.Instant.ofEpochMilli(nowMillis),
-              () -> java.time.Instant.ofEpochMilli(nowMillis),
+              () -> Instant.ofEpochMilli(nowMillis),
+              () -> Instant.ofEpochMilli(nowMillis),
               new VerdictStore(
                   this::write,
                   Runnable::run,
-                  () -> java.time.Instant.ofEpochMilli(nowMillis),
+                  () -> Instant.ofEpochMilli(nowMillis),
                   random,
                   (kind, subject, detail) -> {}),
               new CrashControl.Sink(
-                  next -> view = next, report -> {}, (fingerprint, software) -> trials++),
+                  next -> view = next, this::onReport, (fingerprint, software) -> trials++),
               (kind, subject, detail) -> {});
       int current = incarnation;
       repeat(current, TICK_MILLIS, () -> control.tick(isListed));
       repeat(current, READ_MILLIS, this::readRow);
     }
 
+    /** Reports the suspects that ran to their end at this node, as the traffic thread would. */
+    private void onReport(CrashReport report) {
+      int current = incarnation;
+      schedule(
+          1,
+          () -> {
+            Set<Fingerprint> acquitted = new HashSet<>(report.suspects().keySet());
+            acquitted.retainAll(recentRuns);
+            if (running && incarnation == current && !acquitted.isEmpty()) {
+              control.onSuccess(report.software(), acquitted);
+            }
+          });
+    }
+
     private void repeat(int current, long intervalMillis, Runnable action) {
       schedule(
           random.nextLong(intervalMillis) + 1,
@@ -150,8 +170,6 @@
     }
   }
 
-  private final Set<String> cutDataCentres = new HashSet<>();
-
   CrashNetwork(long seed) {
     random = new Random(seed);
   }
@@ -213,10 +231,11 @@
     isListed = listed;
   }
 
+  /** Crashes a server while it runs the suspects for a node, the most specific one last. */
   void crash(String node, String process, String... suspects) {
     Map<Fingerprint, Integer> fingerprints = new HashMap<>();
-    for (String suspect : suspects) {
-      fingerprints.put(id(suspect), 1);
+    for (int i = 0; i < suspects.length; i++) {
+      fingerprints.put(id(suspects[i]), i);
     }
     nodeByName
         .get(node)
@@ -225,9 +244,27 @@
   }
 
   void succeed(String node, String suspect) {
+    nodeByName.get(node).recentRuns.add(id(suspect));
     nodeByName.get(node).control.onSuccess("s v1", Set.of(id(suspect)));
   }
 
+  boolean isRunning(String node) {
+    return nodeByName.get(node).running;
+  }
+
+  /** Returns for how long a node has run without a break, in milliseconds. */
+  long upMillis(String node) {
+    return nowMillis - nodeByName.get(node).startedMillis;
+  }
+
+  boolean isRefused(String node, String suspect) {
+    return nodeByName.get(node).view.condemned().containsKey(id(suspect));
+  }
+
+  long nowMillis() {
+    return nowMillis;
+  }
+
   void refuse(String node, String suspect) {
     nodeByName.get(node).control.onRefusal(id(suspect), Set.of("s v1"));
   }
