--- a/node/src/main/java/io/nutmegseam/node/crash/CrashControl.java
+++ b/node/src/main/java/io/nutmegseam/node/crash/CrashControl.java
@@ -30,6 +30,9 @@
   /** A process that is still listed this long after its crash runs; entries lapse earlier. */
   private static final long ALIVE_MILLIS = 10_000;
 
+  /** A node that has just started does not know yet what runs to its end. */
+  private static final long OBSERVATION_MILLIS = 2_000;
+
   private final PeerTransport peers;
   private final InstantSource clock;
   private final InstantSource utcClock;
@@ -38,6 +41,7 @@
   private final EventSink events;
   private final Set<String> greetedPeers = new HashSet<>();
   private final Set<String> observedProcesses = new HashSet<>();
+  private final long startedMillis;
   private CrashLedger ledger = CrashLedger.empty();
 
   /**
@@ -75,6 +79,7 @@
     this.store = store;
     this.sink = sink;
     this.events = events;
+    this.startedMillis = clock.millis();
   }
 
   /**
@@ -172,7 +177,10 @@
         next = next.withoutCrash(crash.process(), utcClock.millis());
       }
     }
-    next = next.settle(nowMillis, utcClock.millis());
+    next =
+        nowMillis - startedMillis < OBSERVATION_MILLIS
+            ? next.withoutExpired(nowMillis, utcClock.millis())
+            : next.settle(nowMillis, utcClock.millis());
     if (next != ledger) {
       boolean reached = !next.verdicts().equals(ledger.verdicts());
       update(next);
--- a/node/src/test/java/io/nutmegseam/node/crash/CrashControlTest.java
+++ b/node/src/test/java/io/nutmegseam/node/crash/CrashControlTest.java
@@ -20,7 +20,7 @@
     network.addNodes("dc1", 4);
     network.addNodes("dc2", 4);
     network.addNodes("dc3", 4);
-    network.advance(1_000);
+    network.advance(2_500);
   }
 
   /** Three servers crash, each of which ran the request for another node. */
@@ -155,6 +155,19 @@
       assertThat(network.refusingNodes("cause")).isEmpty();
     }
 
+    @Test
+    void should_not_condemn_before_started_nodes_have_seen_what_runs_to_its_end() {
+      startNodes();
+      List.copyOf(network.nodes()).forEach(network::restart);
+      network.advance(100);
+      crashThree();
+      network.advance(1_000);
+      assertThat(network.refusingNodes("cause")).isEmpty();
+      network.succeed("dc1-1", "cause");
+      network.advance(STABLE_MILLIS);
+      assertThat(network.refusingNodes("cause")).isEmpty();
+    }
+
     @Test
     void should_count_crashes_that_were_seen_before_a_node_restarted() {
       startNodes();
