Reconsider a verdict once, after a minute

One request may now be tried on the software that crashed, 60 s after the verdict, claimed in the store like the trial of a new version; two trials in all, so that a true cause costs one more crash. A success lifts the verdict.

--- a/core/src/main/java/io/nutmegseam/core/crash/CrashLedger.java
+++ b/core/src/main/java/io/nutmegseam/core/crash/CrashLedger.java
@@ -38,7 +38,7 @@
   private static final long CRASH_RETENTION_MILLIS = 600_000;
 
   /** A verdict ends when no request with its fingerprint has come for this time. */
-  private static final long VERDICT_MILLIS = 600_000;
+  static final long VERDICT_MILLIS = 600_000;
 
   private static final int MAX_CRASHES = 128;
   private static final int MAX_SUSPECTS = 256;
--- a/core/src/main/java/io/nutmegseam/core/crash/CrashVerdict.java
+++ b/core/src/main/java/io/nutmegseam/core/crash/CrashVerdict.java
@@ -12,8 +12,8 @@
  * @param generation number of changes between condemned and not condemned
  * @param condemned whether requests with the fingerprint are refused
  * @param crashedSoftware services and software versions of the servers that crashed
- * @param triedSoftware other software on which one request was or is to be tried; a new version may
- *     be sound
+ * @param triedSoftware software on which one request was or is to be tried since the verdict; a new
+ *     version may be sound, or the crashes may have had other causes
  * @param soundSoftware other software on which a request has run to its end
  * @param validUntilMillis time at which the verdict ends unless it is extended, in milliseconds
  *     since the epoch
@@ -29,6 +29,9 @@
   /** More trials could crash more servers than a verdict is to allow. */
   private static final int MAX_TRIALS = 2;
 
+  /** Time after a verdict until a request may be tried on software that it crashed. */
+  private static final long RECONSIDER_MILLIS = 60_000;
+
   /** Nodes reach the same verdict at slightly different times, which need not be shared. */
   private static final long VALIDITY_TOLERANCE_MILLIS = 60_000;
 
@@ -46,13 +49,18 @@
         fingerprint, generation, true, crashedSoftware, Set.of(), Set.of(), untilMillis);
   }
 
-  /** Returns whether one request may be tried on some software. */
-  public boolean mayTry(String software) {
+  /**
+   * Returns whether one request may be tried on some software: at once if no server with it has
+   * crashed, and otherwise after a while, in case the crashes had other causes.
+   */
+  public boolean mayTry(String software, long utcMillis) {
+    boolean reconsidered =
+        validUntilMillis - utcMillis <= CrashLedger.VERDICT_MILLIS - RECONSIDER_MILLIS;
     return condemned
         && triedSoftware.size() < MAX_TRIALS
-        && !crashedSoftware.contains(software)
         && !triedSoftware.contains(software)
-        && !soundSoftware.contains(software);
+        && !soundSoftware.contains(software)
+        && (reconsidered || !crashedSoftware.contains(software));
   }
 
   /** Returns the verdict with a request that is to be tried on some software. */
--- a/node/src/main/java/io/nutmegseam/node/crash/CrashControl.java
+++ b/node/src/main/java/io/nutmegseam/node/crash/CrashControl.java
@@ -107,8 +107,8 @@
   }
 
   /**
-   * Handles a request that was refused for a condemned fingerprint. If its service has software on
-   * which no request with the fingerprint has run, this node may be the one to try it.
+   * Handles a request that was refused for a condemned fingerprint. If a request with the
+   * fingerprint may be tried on software of its service, this node may be the one to try it.
    *
    * @param fingerprint the fingerprint
    * @param software the software of the servers that could run the request
@@ -124,7 +124,7 @@
         .ifPresent(
             verdict ->
                 software.stream()
-                    .filter(verdict::mayTry)
+                    .filter(s -> verdict.mayTry(s, utcClock.millis()))
                     .findFirst()
                     .ifPresent(untried -> claimTrial(verdict, untried)));
   }
--- a/node/src/test/java/io/nutmegseam/node/crash/CrashControlTest.java
+++ b/node/src/test/java/io/nutmegseam/node/crash/CrashControlTest.java
@@ -249,6 +249,28 @@
       assertThat(network.trials()).isEqualTo(2);
     }
 
+    /** Three crashes of other causes can condemn a sound request, which then has no way back. */
+    @Test
+    void should_permit_one_trial_of_the_same_version_after_a_minute() {
+      startNodes();
+      crashThree();
+      network.advance(STABLE_MILLIS);
+      for (int i = 0; i < 100; i++) {
+        network.nodes().forEach(n -> network.refuse(n, "cause"));
+        network.advance(500);
+      }
+      assertThat(network.trials()).isZero();
+      for (int i = 0; i < 1_200; i++) {
+        network.nodes().forEach(n -> network.refuse(n, "cause"));
+        network.advance(500);
+      }
+      assertThat(network.trials()).isEqualTo(1);
+      assertThat(network.refusingNodes("cause")).hasSize(12);
+      network.succeed("dc2-2", "cause");
+      network.advance(STABLE_MILLIS);
+      assertThat(network.refusingNodes("cause")).isEmpty();
+    }
+
     @Test
     void should_permit_none_without_the_store() {
       startNodes();
