Bound the hashed part of a body; names and smaller pieces in the crash components

A body of several MB would be hashed whole on the traffic thread; its size and first 64 KiB identify it now. TrafficTimer leaves StreamOrigins, since two more components use it; the admission of condemned requests and the settling by the list of servers read in one go.

--- a/node/src/main/java/io/nutmegseam/node/crash/CrashControl.java
+++ b/node/src/main/java/io/nutmegseam/node/crash/CrashControl.java
@@ -33,6 +33,9 @@
   /** A node that has just started does not know yet what runs to its end. */
   private static final long OBSERVATION_MILLIS = 2_000;
 
+  /** Source of news that no other node has sent. */
+  private static final String THIS_NODE = "";
+
   private final PeerTransport peers;
   private final InstantSource clock;
   private final InstantSource utcClock;
@@ -94,7 +97,7 @@
         report.process(),
         "%s, %s, ran %s".formatted(evidence, report.software(), report.suspects().keySet()));
     observedProcesses.add(report.process());
-    apply("", CrashNews.newBuilder().addCrashes(CrashCodec.encode(report, 0)).build());
+    apply(THIS_NODE, CrashNews.newBuilder().addCrashes(CrashCodec.encode(report, 0)).build());
   }
 
   /** Handles successful runs of suspects at this node. */
@@ -103,7 +106,7 @@
         SuccessfulRuns.newBuilder()
             .setSoftware(software)
             .addAllFingerprints(CrashCodec.bits(fingerprints));
-    apply("", CrashNews.newBuilder().addSuccesses(runs).build());
+    apply(THIS_NODE, CrashNews.newBuilder().addSuccesses(runs).build());
   }
 
   /**
@@ -117,7 +120,7 @@
     CrashLedger next = ledger.withRefusal(fingerprint, utcClock.millis());
     if (next != ledger) {
       update(next);
-      forward("", allVerdicts().build());
+      forward(THIS_NODE, allVerdicts().build());
     }
     ledger
         .verdict(fingerprint)
@@ -140,7 +143,7 @@
               verdict.fingerprint().toString(),
               "one request may run on " + software);
           update(ledger.withVerdict(tried, utcClock.millis()));
-          forward("", allVerdicts().build());
+          forward(THIS_NODE, allVerdicts().build());
           sink.trial().accept(verdict.fingerprint(), software);
         });
   }
@@ -188,7 +191,7 @@
         if (hasObserved(next)) {
           store.writeSoon();
         }
-        forward("", allVerdicts().build());
+        forward(THIS_NODE, allVerdicts().build());
       }
     }
     greetNewPeers();
--- a/node/src/main/java/io/nutmegseam/node/gateway/CrashDetector.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/CrashDetector.java
@@ -30,7 +30,7 @@
   private final InstantSource clock;
   private final GatewayState state;
   private final Prober prober;
-  private final StreamOrigins.Timer timer;
+  private final TrafficTimer timer;
   private final BiConsumer<CrashReport, String> onCrash;
   private final Map<Incarnation, Loss> lossByServer = new HashMap<>();
   private boolean checkScheduled;
@@ -72,7 +72,7 @@
       InstantSource clock,
       GatewayState state,
       Prober prober,
-      StreamOrigins.Timer timer,
+      TrafficTimer timer,
       BiConsumer<CrashReport, String> onCrash) {
     this.clock = clock;
     this.state = state;
@@ -147,14 +147,19 @@
     checkScheduled = false;
     long nowMillis = clock.millis();
     lossByServer.values().removeIf(loss -> nowMillis - loss.sinceMillis > EVIDENCE_MILLIS);
-    lossByServer.values().removeIf(loss -> !loss.crashed && isSettledByList(loss));
+    lossByServer.values().removeIf(loss -> !loss.crashed && settleByList(loss));
     if (!lossByServer.isEmpty()) {
       scheduleCheck();
     }
   }
 
-  /** Returns whether the server is listed as draining or no longer listed, which is a crash. */
-  private boolean isSettledByList(Loss loss) {
+  /**
+   * Settles a loss by the list of servers: a process that is no longer listed has crashed, and one
+   * that is draining will stop as planned.
+   *
+   * @return whether the loss is settled
+   */
+  private boolean settleByList(Loss loss) {
     Optional<ServerEntry> entry = state.fleet().entry(loss.server.incarnation().id());
     boolean running =
         entry.filter(e -> e.incarnation().equals(loss.server.incarnation())).isPresent();
--- a/node/src/main/java/io/nutmegseam/node/gateway/CrashGuard.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/CrashGuard.java
@@ -6,8 +6,10 @@
 import io.nutmegseam.core.crash.Fingerprint;
 import io.nutmegseam.core.fleet.ServerEntry;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -27,7 +29,7 @@
 
   private final Listener listener;
   private final CrashDetector detector;
-  private final StreamOrigins.Timer timer;
+  private final TrafficTimer timer;
   private final TrialPermits permits;
   private final RecentRuns recentRuns = new RecentRuns();
   private final Set<Guarded> guarded = new HashSet<>();
@@ -72,8 +74,7 @@
    * @param timer runs delayed tasks on the traffic thread
    * @param listener receives what is observed
    */
-  CrashGuard(
-      TrialPermits permits, CrashDetector detector, StreamOrigins.Timer timer, Listener listener) {
+  CrashGuard(TrialPermits permits, CrashDetector detector, TrafficTimer timer, Listener listener) {
     this.permits = permits;
     this.detector = detector;
     this.timer = timer;
@@ -113,24 +114,16 @@
       return new Admission(Optional.empty(), Optional.empty());
     }
     CrashVerdict verdict = found.get();
-    Optional<String> version =
-        versions.stream()
-            .filter(v -> verdict.soundSoftware().contains(software(service, v)))
-            .findFirst()
-            .or(
-                () ->
-                    permits
-                        .reserve(verdict.fingerprint(), request)
-                        .flatMap(
-                            permitted ->
-                                versions.stream()
-                                    .filter(v -> software(service, v).equals(permitted))
-                                    .findFirst()));
-    if (version.isPresent()) {
-      return new Admission(Optional.empty(), version);
+    Map<String, String> versionBySoftware = new HashMap<>();
+    versions.forEach(version -> versionBySoftware.put(software(service, version), version));
+    Optional<String> sound =
+        verdict.soundSoftware().stream().filter(versionBySoftware::containsKey).findFirst();
+    Optional<String> admitted =
+        sound.or(() -> permits.reserve(verdict.fingerprint(), request)).map(versionBySoftware::get);
+    if (admitted.isPresent()) {
+      return new Admission(Optional.empty(), admitted);
     }
-    listener.onRefusal(
-        verdict.fingerprint(), versions.stream().map(v -> software(service, v)).toList());
+    listener.onRefusal(verdict.fingerprint(), versionBySoftware.keySet());
     return new Admission(found, Optional.empty());
   }
 
--- a/node/src/main/java/io/nutmegseam/node/gateway/CrashProtection.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/CrashProtection.java
@@ -77,7 +77,7 @@
   private CrashGuard createGuard(Dependencies dependencies) {
     ControlThread thread = dependencies.thread();
     ServerConnectionPools pools = dependencies.pools();
-    StreamOrigins.Timer timer =
+    TrafficTimer timer =
         (delayMillis, task) ->
             dependencies.loop().schedule(task, delayMillis, TimeUnit.MILLISECONDS);
     CrashDetector detector =
--- a/node/src/main/java/io/nutmegseam/node/gateway/RequestFingerprints.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/RequestFingerprints.java
@@ -21,6 +21,9 @@
   private static final String PART = "part";
   private static final int MAX_PARTS = 32;
 
+  /** Bounds the time on the traffic thread; the size of the body counts as well. */
+  private static final int MAX_HASHED_BODY_BYTES = 64 << 10;
+
   /** Specificity of the content; higher than that of any part. */
   private static final int CONTENT_SPECIFICITY = 100;
 
@@ -58,11 +61,13 @@
   }
 
   private static Fingerprint ofContent(InboundRequest request) {
+    int hashedBytes = Math.min(request.body().size(), MAX_HASHED_BODY_BYTES);
     return Fingerprint.builder()
         .add(request.method().name())
         .add(request.host())
         .add(request.target())
-        .add(request.body().asReadOnlyByteBuffer())
+        .add(String.valueOf(request.body().size()))
+        .add(request.body().substring(0, hashedBytes).asReadOnlyByteBuffer())
         .build();
   }
 
--- a/node/src/main/java/io/nutmegseam/node/gateway/StreamOrigins.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/StreamOrigins.java
@@ -56,7 +56,7 @@
   private final InstantSource clock;
   private final GatewayState state;
   private final PeerTransport peers;
-  private final Timer timer;
+  private final TrafficTimer timer;
   private final StreamOriginTable table;
   private final Deque<Unshared> unshared = new ArrayDeque<>();
   private final Map<Long, Lookup> lookupById = new HashMap<>();
@@ -65,13 +65,6 @@
   private boolean checkScheduled;
   private long lastLookupId;
 
-  /** Runs a task on the traffic thread after a delay. */
-  @FunctionalInterface
-  interface Timer {
-    /** Schedules a task. */
-    void schedule(long delayMillis, Runnable task);
-  }
-
   /**
    * Nodes that keep the origins of this node's streams.
    *
@@ -135,7 +128,7 @@
    * @param peers sends frames to other nodes
    * @param timer runs delayed tasks on the traffic thread
    */
-  StreamOrigins(InstantSource clock, GatewayState state, PeerTransport peers, Timer timer) {
+  StreamOrigins(InstantSource clock, GatewayState state, PeerTransport peers, TrafficTimer timer) {
     this.clock = clock;
     this.state = state;
     this.peers = peers;
