Apply only new verdicts to requests in progress

When any verdict was added, requests in progress were checked against all verdicts, so that a request that ran on a version on which it is sound was ended by a verdict on another one.

--- a/node/src/main/java/io/nutmegseam/node/gateway/CrashGuard.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/CrashGuard.java
@@ -201,15 +201,20 @@
     }
   }
 
-  /** Applies a new view of the crashes to further requests and to those in progress. */
+  /**
+   * Applies a new view of the crashes to further requests, and new verdicts to those in progress.
+   */
   void onView(CrashView next) {
-    boolean moreVerdicts = !view.condemned().keySet().containsAll(next.condemned().keySet());
+    Map<Fingerprint, CrashVerdict> added = new HashMap<>(next.condemned());
+    added.keySet().removeAll(view.condemned().keySet());
     view = next;
-    if (moreVerdicts) {
-      next.condemned().values().forEach(this::reportRecentRuns);
-      for (Guarded request : List.copyOf(guarded)) {
-        next.findVerdict(request.fingerprints().all()).ifPresent(request::onCondemned);
-      }
+    if (added.isEmpty()) {
+      return;
+    }
+    added.values().forEach(this::reportRecentRuns);
+    CrashView addedView = new CrashView(added, Map.of());
+    for (Guarded request : List.copyOf(guarded)) {
+      addedView.findVerdict(request.fingerprints().all()).ifPresent(request::onCondemned);
     }
   }
 }
