--- a/node/src/main/java/io/nutmegseam/node/gateway/Attempt.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/Attempt.java
@@ -165,6 +165,9 @@
   @Override
   public void onHead(HttpResponse head) {
     reportLoad(head);
+    if (head.status().code() != STATUS_MISDIRECTED) {
+      context.limits().onResponse(server.incarnation(), head.headers());
+    }
     context.loads().onResponseHead(serverId(), this);
     boolean success = head.status().codeClass() == HttpStatusClass.SUCCESS;
     if (success && !head.headers().contains(context.headers().receipt())) {
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
@@ -169,6 +169,7 @@
         pools,
         new ServerChooser(settings.dataCentre(), loads, ThreadLocalRandom.current(), clock),
         loads,
+        new NamedLimits(headers, events),
         new RetryLimiter(
             settings.retryRatio(),
             settings.retrySlack(),
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayHeaders.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayHeaders.java
@@ -19,6 +19,8 @@
  * @param receipt present on every response that was created by a server
  * @param load numbers of running requests, queued requests and slots of a server, separated by
  *     commas
+ * @param requestLimit requests per second, as a decimal number, that a server accepts from all
+ *     nodes together; absent from the responses of a server without limit
  * @param priority priority at the server; lower is more urgent
  * @param reserved headers that only the gateway may set; removed from callers' requests
  */
@@ -34,5 +36,6 @@
     String notRun,
     String receipt,
     String load,
+    String requestLimit,
     String priority,
     Set<String> reserved) {}
--- a/node/src/main/java/io/nutmegseam/node/gateway/TrafficContext.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/TrafficContext.java
@@ -14,6 +14,7 @@
  * @param pools connection pools of the servers
  * @param chooser chooses servers
  * @param loads load and failures of the servers
+ * @param limits limits that servers name
  * @param retries limits retries
  * @param waitQueue requests that wait until their model is loaded
  * @param origins software versions at which streams began
@@ -30,6 +31,7 @@
     ServerConnectionPools pools,
     ServerChooser chooser,
     ServerLoads loads,
+    NamedLimits limits,
     RetryLimiter retries,
     ModelWaitQueue waitQueue,
     StreamOrigins origins,
--- a/node/src/test/java/io/nutmegseam/node/gateway/TestGateway.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/TestGateway.java
@@ -50,6 +50,7 @@
           "not-run",
           "receipt",
           "load",
+          "request-limit",
           "priority",
           Set.of("expect", "reserved"));
 
@@ -75,6 +76,7 @@
             new ServerConnectionPools(loop, HEADERS.requestId(), clock),
             new ServerChooser("dc", loads, new Random(1), clock),
             loads,
+            new NamedLimits(HEADERS, (kind, subject, detail) -> {}),
             new RetryLimiter(0.2, 50, 10_000, 1, clock),
             waitQueue,
             new StreamOrigins(
