--- a/node/src/test/java/io/nutmegseam/node/gateway/CrashingRequestTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/CrashingRequestTest.java
@@ -63,10 +63,10 @@
         // THEN the last requests
         long lastMillis =
             scenario.results("crashing").stream()
-                .mapToLong(CrashScenario.Result::sentMillis)
+                .mapToLong(CallerLoad.Result::sentMillis)
                 .max()
                 .orElseThrow();
-        List<CrashScenario.Result> last =
+        List<CallerLoad.Result> last =
             scenario.results("crashing").stream()
                 .filter(result -> result.sentMillis() > lastMillis - 1_000)
                 .toList();
--- a/node/src/test/java/io/nutmegseam/node/gateway/CrashingServers.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/CrashingServers.java
@@ -190,7 +190,7 @@
     private void serve(Socket socket) {
       try (socket) {
         InputStream in = new BufferedInputStream(socket.getInputStream());
-        String head = readRequest(in);
+        String head = StubServer.readRequest(in);
         while (!head.isEmpty()) {
           arrivals.add(new Arrival(head, System.currentTimeMillis()));
           Thread.sleep(RUN_MILLIS);
@@ -201,7 +201,7 @@
             return;
           }
           write(socket, response + EVENT + END);
-          head = readRequest(in);
+          head = StubServer.readRequest(in);
         }
       } catch (IOException e) {
         // The connection was closed by the caller or by a crash.
@@ -257,21 +257,4 @@
     socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
     socket.getOutputStream().flush();
   }
-
-  /** Reads a request and returns its head; empty at the end of the connection. */
-  private static String readRequest(InputStream in) throws IOException {
-    StringBuilder head = new StringBuilder();
-    while (head.indexOf("\r\n\r\n") < 0) {
-      int next = in.read();
-      if (next < 0) {
-        return "";
-      }
-      head.append((char) next);
-    }
-    String length = StubServer.header(head.toString(), "content-length");
-    if (!length.isEmpty()) {
-      in.readNBytes(Integer.parseInt(length));
-    }
-    return head.toString();
-  }
 }
--- a/node/src/test/java/io/nutmegseam/node/gateway/StubServer.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/StubServer.java
@@ -148,6 +148,23 @@
     return "";
   }
 
+  /** Reads a request and returns its head; empty at the end of the connection. */
+  static String readRequest(InputStream in) throws IOException {
+    StringBuilder head = new StringBuilder();
+    while (head.indexOf("\r\n\r\n") < 0) {
+      int next = in.read();
+      if (next < 0) {
+        return "";
+      }
+      head.append((char) next);
+    }
+    String length = StubServer.header(head.toString(), "content-length");
+    if (!length.isEmpty()) {
+      in.readNBytes(Integer.parseInt(length));
+    }
+    return head.toString();
+  }
+
   /** Reads a request and returns its head. A body is read only if it has a Content-Length. */
   private String readHead(InputStream in) throws IOException {
     StringBuilder head = new StringBuilder();
--- a/node/src/test/java/io/nutmegseam/node/gateway/TestCluster.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/TestCluster.java
@@ -65,12 +65,17 @@
 
   /** Starts a node of the data centre dc, and waits until it is ready. */
   TestCluster start(String node) throws IOException {
+    return start(node, "dc");
+  }
+
+  /** Starts a node, and waits until it is ready. */
+  TestCluster start(String node, String dataCentre) throws IOException {
     HostPort readyAddress = freeAddress();
     HostPort callerAddress = freeAddress();
     GatewaySettings settings =
         new GatewaySettings(
             node,
-            "dc",
+            dataCentre,
             callerAddress,
             readyAddress,
             freeAddress(),
