Load models elsewhere while the limits of their servers are too low

Callers of models in demand were refused with servers-at-limit while other servers had room: the planner counted a replica on a server with a limit of 2 requests a second like any other.

Change: a server serves a model only if its limit is at least twice the model's request rate; else the model needs a replica elsewhere, and is not placed there. A request whose model is only on servers at their limits waits for that load, like one whose model is missing, if the service has a server without limit; if all have limits, it is refused at once.

--- a/core/src/main/java/io/nutmegseam/core/orders/ServerOrderState.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/ServerOrderState.java
@@ -3,6 +3,7 @@
 import io.nutmegseam.core.fleet.ServerEntry;
 import io.nutmegseam.core.gateway.EngineSpec;
 import io.nutmegseam.core.gateway.ModelSpec;
+import io.nutmegseam.core.quota.ServerLimits;
 import java.util.Optional;
 
 /**
@@ -13,18 +14,40 @@
  * @param pendingUntilMillis monotonic time at which the pending order should complete
  * @param followUpAllowed whether the next order may be sent before the completion of the pending
  *     one is confirmed
+ * @param limits limits that the server names
  */
 public record ServerOrderState(
     ServerEntry entry,
     Optional<ModelOrder> pending,
     long pendingUntilMillis,
-    boolean followUpAllowed) {
+    boolean followUpAllowed,
+    ServerLimits limits) {
   /**
    * Minimum delay after which an order counts as stalled. An unload waits for the requests in
    * progress.
    */
   private static final long MIN_STALLED_MILLIS = 3_000;
 
+  /**
+   * Requests for a model arrive in bursts, so a server serves them within its limit only if that is
+   * a multiple of their rate.
+   */
+  private static final double LIMIT_PER_RATE = 2;
+
+  /** Creates the state of a server that names no limits. */
+  public ServerOrderState(
+      ServerEntry entry,
+      Optional<ModelOrder> pending,
+      long pendingUntilMillis,
+      boolean followUpAllowed) {
+    this(entry, pending, pendingUntilMillis, followUpAllowed, ServerLimits.NONE);
+  }
+
+  /** Returns whether the limits of the server allow the requests for a model of a rate. */
+  boolean allows(double ratePerSecond) {
+    return limits.requestsPerSecond() >= LIMIT_PER_RATE * ratePerSecond;
+  }
+
   /** Returns the id of the server. */
   public String id() {
     return entry.incarnation().id();
--- a/core/src/main/java/io/nutmegseam/core/orders/ServiceSnapshot.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/ServiceSnapshot.java
@@ -54,7 +54,7 @@
     serverById.put(server.id(), server);
     Set<String> loaded = server.entry().inventory().adaptersByModel().keySet();
     for (String model : loaded) {
-      if (server.serves(model)) {
+      if (server.serves(model) && server.allows(totalDemand(model).ratePerSecond())) {
         servingReplicasByModel.merge(model, 1, Integer::sum);
         replicasByModel.merge(model, 1, Integer::sum);
       }
@@ -63,6 +63,7 @@
         server.isStalled(engine, nowMillis) ? Optional.empty() : server.loadingModel();
     loading
         .filter(model -> !server.serves(model))
+        .filter(model -> server.allows(totalDemand(model).ratePerSecond()))
         .ifPresent(model -> replicasByModel.merge(model, 1, Integer::sum));
     if (!server.entry().draining()) {
       loading.ifPresent(modelsWithCopy::add);
@@ -107,12 +108,15 @@
     return totalByModel.getOrDefault(model, ModelDemand.NONE);
   }
 
-  /** Returns the number of servers that serve a model. */
+  /** Returns the number of servers that serve a model within their limits. */
   int servingReplicas(String model) {
     return servingReplicasByModel.getOrDefault(model, 0);
   }
 
-  /** Returns the number of servers that serve or load a model; stalled loads do not count. */
+  /**
+   * Returns the number of servers that serve a model within their limits, or load it; stalled loads
+   * do not count.
+   */
   int replicas(String model) {
     return replicasByModel.getOrDefault(model, 0);
   }
--- a/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
@@ -307,6 +307,7 @@
                       sourceOn(s, model) != LoadSource.STORE
                           || (storeLoads > 0 && s.canAcceptOrder()))
               .filter(s -> !s.serves(model))
+              .filter(s -> s.allows(snapshot.totalDemand(model).ratePerSecond()))
               .filter(s -> MemoryUse.canHost(snapshot, s, spec, isUrgent(model)))
               .min(
                   Comparator.<ServerOrderState>comparingLong(s -> loadTimes.readyMillis(s, spec))
--- a/core/src/main/java/io/nutmegseam/core/quota/LimitTable.java
+++ b/core/src/main/java/io/nutmegseam/core/quota/LimitTable.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 /**
  * The limits that the processes of servers name, as far as this node has been told by them or by
@@ -36,9 +37,16 @@
     return List.copyOf(namedByProcess.values());
   }
 
+  /** Returns the limits of the processes that name any. */
+  public Map<String, ServerLimits> limitsByProcess() {
+    return namedByProcess.values().stream()
+        .filter(named -> !named.limits().isNone())
+        .collect(Collectors.toUnmodifiableMap(NamedLimit::process, NamedLimit::limits));
+  }
+
   /** Returns the number of processes that name a limit. */
   public int limitedCount() {
-    return (int) namedByProcess.values().stream().filter(named -> !named.limits().isNone()).count();
+    return limitsByProcess().size();
   }
 
   /**
--- a/core/src/test/java/io/nutmegseam/core/orders/FleetFixtures.java
+++ b/core/src/test/java/io/nutmegseam/core/orders/FleetFixtures.java
@@ -6,6 +6,7 @@
 import io.nutmegseam.core.fleet.ServerEntry;
 import io.nutmegseam.core.gateway.EngineSpec;
 import io.nutmegseam.core.gateway.ModelSpec;
+import io.nutmegseam.core.quota.ServerLimits;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -36,6 +37,15 @@
         false);
   }
 
+  static ServerOrderState limited(ServerOrderState server, double requestsPerSecond) {
+    return new ServerOrderState(
+        server.entry(),
+        server.pending(),
+        server.pendingUntilMillis(),
+        server.followUpAllowed(),
+        new ServerLimits(requestsPerSecond));
+  }
+
   static ServerEntry entry(String id, Inventory inventory, boolean draining) {
     return new ServerEntry(
         new Incarnation(id, 1), "llm", "v1", "127.0.0.1", 1, "dc", 32, draining, inventory);
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
@@ -205,6 +205,7 @@
             clock,
             (delayMillis, task) -> loop.schedule(task, delayMillis, TimeUnit.MILLISECONDS),
             state::isListed,
+            state::setLimits,
             events));
   }
 
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayState.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayState.java
@@ -1,9 +1,12 @@
 package io.nutmegseam.node.gateway;
 
 import io.nutmegseam.core.fleet.Fleet;
+import io.nutmegseam.core.fleet.Incarnation;
 import io.nutmegseam.core.fleet.ServerEntry;
 import io.nutmegseam.core.fleet.VersionHistory;
 import io.nutmegseam.core.gateway.GatewayConfig;
+import io.nutmegseam.core.quota.ServerLimits;
+import java.util.Map;
 import java.util.Optional;
 
 /** State that the traffic thread reads: snapshots of the control thread, and shutdown flags. */
@@ -12,6 +15,7 @@
   private volatile Fleet fleet = Fleet.EMPTY;
   private volatile VersionHistory versions = VersionHistory.EMPTY;
   private volatile ExpectedLoadTimes expectedLoadTimes = ExpectedLoadTimes.NONE;
+  private volatile Map<String, ServerLimits> limitsByProcess = Map.of();
   private volatile boolean fleetPublished;
   private volatile boolean stopping;
   private volatile boolean closed;
@@ -37,6 +41,11 @@
     expectedLoadTimes = next;
   }
 
+  /** Publishes the limits of the processes that name any. */
+  void setLimits(Map<String, ServerLimits> next) {
+    limitsByProcess = next;
+  }
+
   /** Makes the node accept no further requests, since its process is about to exit. */
   public void setClosed() {
     closed = true;
@@ -67,6 +76,11 @@
     return versions;
   }
 
+  /** Returns the limits that a server names. */
+  ServerLimits limits(Incarnation server) {
+    return limitsByProcess.getOrDefault(server.toString(), ServerLimits.NONE);
+  }
+
   /** Returns the expected load times of models. */
   ExpectedLoadTimes expectedLoadTimes() {
     return expectedLoadTimes;
--- a/node/src/main/java/io/nutmegseam/node/gateway/OrderControl.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/OrderControl.java
@@ -127,7 +127,8 @@
               entry.withInventory(tracker.inventory()),
               tracker.pending(),
               tracker.pendingUntilMillis(),
-              tracker.isFollowUpAllowed()));
+              tracker.isFollowUpAllowed(),
+              dependencies.state().limits(entry.incarnation())));
     }
     if (!inventorySync.isComplete(
         servers.size(), fleet.entriesOfService(service).size(), nowMillis)) {
--- a/node/src/main/java/io/nutmegseam/node/gateway/ServerChooser.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/ServerChooser.java
@@ -162,6 +162,18 @@
         .orElse(0);
   }
 
+  /**
+   * Returns whether no server has loaded the model of a request, or all servers that have it are at
+   * their limits while the service has a server without limit.
+   */
+  boolean isModelMissing(Fleet fleet, Criteria criteria) {
+    boolean loadable =
+        fleet.entriesOfService(criteria.service()).stream()
+            .anyMatch(entry -> !entry.draining() && !isLimited(entry));
+    return eligibleServers(fleet, criteria.service(), criteria.ref()).isEmpty()
+        || (loadable && exhaustedMillis(fleet, criteria) > 0);
+  }
+
   private List<ServerEntry> candidates(Fleet fleet, Criteria criteria) {
     List<ServerEntry> candidates = eligibleServers(fleet, criteria.service(), criteria.ref());
     candidates.removeIf(entry -> !criteria.admits(entry));
--- a/node/src/main/java/io/nutmegseam/node/gateway/ServerSelection.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/ServerSelection.java
@@ -106,13 +106,13 @@
         : Math.max(0, plan.latestStartMillis() - context.clock().millis());
   }
 
-  /** Returns whether the request needs a model that no server has loaded. */
+  /**
+   * Returns whether the request needs a model that no server has loaded, or only servers at their
+   * limits while another server could load it.
+   */
   boolean isModelMissing() {
     return plan.ref().isPresent()
-        && context
-            .chooser()
-            .eligibleServers(context.state().fleet(), plan.service(), plan.ref())
-            .isEmpty();
+        && context.chooser().isModelMissing(context.state().fleet(), criteria());
   }
 
   /**
--- a/node/src/main/java/io/nutmegseam/node/quota/LimitSharing.java
+++ b/node/src/main/java/io/nutmegseam/node/quota/LimitSharing.java
@@ -14,8 +14,10 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 
 /**
@@ -35,6 +37,7 @@
   private final InstantSource clock;
   private final TrafficTimer timer;
   private final Predicate<String> isListed;
+  private final Consumer<Map<String, ServerLimits>> limitsSink;
   private final EventSink events;
   private final LimitTable table = new LimitTable();
   private final Set<String> greetedPeers = new HashSet<>();
@@ -48,6 +51,7 @@
    * @param clock monotonic clock
    * @param timer runs delayed tasks on the traffic thread
    * @param isListed whether a process of a server is listed
+   * @param limitsSink receives the limits of the processes that name any, whenever they change
    * @param events the log
    */
   LimitSharing(
@@ -55,11 +59,13 @@
       InstantSource clock,
       TrafficTimer timer,
       Predicate<String> isListed,
+      Consumer<Map<String, ServerLimits>> limitsSink,
       EventSink events) {
     this.peers = peers;
     this.clock = clock;
     this.timer = timer;
     this.isListed = isListed;
+    this.limitsSink = limitsSink;
     this.events = events;
   }
 
@@ -103,6 +109,7 @@
         EventKind.SERVER_LIMIT_NAMED,
         named.process(),
         "%s by %s, before: %s".formatted(named.limits(), source, before));
+    limitsSink.accept(table.limitsByProcess());
     if (!ticking) {
       ticking = true;
       greetedPeers.clear();
--- a/node/src/main/java/io/nutmegseam/node/quota/SendQuotas.java
+++ b/node/src/main/java/io/nutmegseam/node/quota/SendQuotas.java
@@ -57,6 +57,7 @@
    * @param clock monotonic clock
    * @param timer runs delayed tasks on the traffic thread
    * @param isListed whether a process of a server is listed
+   * @param limitsSink receives the limits of the processes that name any, whenever they change
    * @param events the log
    */
   public record Dependencies(
@@ -66,6 +67,7 @@
       InstantSource clock,
       TrafficTimer timer,
       Predicate<String> isListed,
+      Consumer<Map<String, ServerLimits>> limitsSink,
       EventSink events) {}
 
   /**
@@ -97,7 +99,12 @@
     this.exhausted = new ExhaustedQuotas(clock);
     this.sharing =
         new LimitSharing(
-            peers, clock, dependencies.timer(), dependencies.isListed(), dependencies.events());
+            peers,
+            clock,
+            dependencies.timer(),
+            dependencies.isListed(),
+            dependencies.limitsSink(),
+            dependencies.events());
     this.selector =
         new LimiterSelector(
             dependencies.self(), dependencies.peers(), dependencies.connector(), clock);
--- a/node/src/test/java/io/nutmegseam/node/gateway/TestGateway.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/TestGateway.java
@@ -120,6 +120,7 @@
             clock,
             (delayMillis, task) -> {},
             process -> true,
+            limits -> {},
             (kind, subject, detail) -> {}));
   }
 
--- a/node/src/test/java/io/nutmegseam/node/quota/QuotaNetwork.java
+++ b/node/src/test/java/io/nutmegseam/node/quota/QuotaNetwork.java
@@ -82,6 +82,7 @@
                   (delayMillis, task) ->
                       schedule(delayMillis, () -> runUnlessFrozen(current, task)),
                   process -> true,
+                  next -> {},
                   (kind, subject, detail) -> {}));
       quotas.setNodes(nodeByName.values().stream().map(node -> node.record).toList());
       scheduleRequest(current);
