Let a server that has just named a limit settle

A server gets what nodes sent before they knew its limit. For the first 3 s such a server now gets only requests that no other server can serve. A denial of such a request also counts for those that others can serve.

--- a/core/src/main/java/io/nutmegseam/core/quota/SendQuota.java
+++ b/core/src/main/java/io/nutmegseam/core/quota/SendQuota.java
@@ -19,12 +19,19 @@
   /** Tokens that are left to requests that no other server can serve. */
   private static final double RESERVED_TOKENS = 1;
 
+  /**
+   * A server that has just named a limit still has the requests of the moment before. For this time
+   * it gets only requests that no other server can serve.
+   */
+  private static final long SETTLE_MILLIS = 3_000;
+
   /** A server whose limit is 0 still gets a request now and then, which shows when it ends. */
   private static final double MIN_PER_SECOND = 0.1;
 
   private static final double MILLIS_PER_SECOND = 1_000;
 
   private double perSecond = MIN_PER_SECOND;
+  private final long settledMillis;
   private double tokens = 1;
   private long updatedMillis;
 
@@ -47,6 +54,7 @@
    */
   public SendQuota(long nowMillis) {
     updatedMillis = nowMillis;
+    settledMillis = nowMillis + SETTLE_MILLIS;
   }
 
   /**
@@ -70,6 +78,9 @@
    */
   public Decision request(long maxWaitMillis, boolean hasAlternative, long nowMillis) {
     refill(nowMillis);
+    if (hasAlternative && nowMillis < settledMillis) {
+      return new Decision(false, settledMillis - nowMillis);
+    }
     double missing = 1 + (hasAlternative ? RESERVED_TOKENS : 0) - tokens;
     long waitMillis = missing <= 0 ? 0 : (long) Math.ceil(missing / perSecond * MILLIS_PER_SECOND);
     if (waitMillis > maxWaitMillis) {
--- a/node/src/main/java/io/nutmegseam/node/quota/ExhaustedQuotas.java
+++ b/node/src/main/java/io/nutmegseam/node/quota/ExhaustedQuotas.java
@@ -38,8 +38,11 @@
   /** Returns for how long a send would still be denied, in milliseconds. */
   long millis(String process, boolean hasAlternative) {
     long nowMillis = clock.millis();
-    long untilMillis =
-        untilMillisByKey.getOrDefault(new Key(process, hasAlternative), Long.MIN_VALUE);
-    return Math.max(0, untilMillis == Long.MIN_VALUE ? 0 : untilMillis - nowMillis);
+    long untilMillis = untilMillisByKey.getOrDefault(new Key(process, false), nowMillis);
+    if (hasAlternative) {
+      untilMillis =
+          Math.max(untilMillis, untilMillisByKey.getOrDefault(new Key(process, true), nowMillis));
+    }
+    return Math.max(0, untilMillis - nowMillis);
   }
 }
