--- a/node/src/test/java/io/nutmegseam/node/quota/QuotaNetwork.java
+++ b/node/src/test/java/io/nutmegseam/node/quota/QuotaNetwork.java
@@ -162,7 +162,8 @@
           LATENCY_MILLIS,
           () -> {
             boolean told = toldMillis <= nowMillis - 500;
-            boolean inTouch = nowMillis - disturbedMillis >= IN_TOUCH_MILLIS;
+            boolean cut = cutDataCentres.contains(record.dataCentre());
+            boolean inTouch = !cut && nowMillis - disturbedMillis >= IN_TOUCH_MILLIS;
             arrivals.add(new Arrival(nowMillis, told && inTouch));
           });
       schedule(
