--- a/node/src/main/java/io/nutmegseam/node/gateway/Attempt.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/Attempt.java
@@ -291,6 +291,7 @@
     if (failure.refused()) {
       context.loads().onRefused(serverId());
     }
+    context.reach().onFailed();
     onFailed(false, failure.reason());
   }
 
--- a/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
@@ -207,6 +207,7 @@
       return;
     }
     Attempt stalled = attempt;
+    context.reach().onFailed();
     selection.exclude(stalled.server());
     Optional<ServerEntry> next = selection.choose();
     if (next.isPresent() && context.retries().tryAcquire(plan.service())) {
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
@@ -54,9 +54,6 @@
   /** Time for the release of the lease to reach the store. */
   private static final long LEASE_RELEASE_MILLIS = 100;
 
-  /** Assumed number of nodes that share fleet-wide limits until the lease holder reports it. */
-  private static final int ASSUMED_NODES = 12;
-
   /** Duration of the order lease; docs/PLATFORM.md compares shorter and longer ones. */
   private static final long LEASE_MILLIS = 8_000;
 
@@ -123,8 +120,12 @@
         new CrashProtection(
             new CrashProtection.Dependencies(
                 loop, thread, clock, state, pools, loads, network, this::writeOwnRow, events));
-    this.quotas = createQuotas();
-    this.traffic = createTrafficContext(headers, pools, loads, waitQueue);
+    this.traffic =
+        new TrafficContextFactory(
+                new TrafficContextFactory.Dependencies(
+                    settings, headers, loop, clock, state, network, events, metrics))
+            .create(pools, loads, waitQueue, crashes.guard());
+    this.quotas = traffic.quotas();
     this.demandReporter =
         new DemandReporter(
             thread, loop, traffic.arrivals(), waitQueue, traffic.loads(), clock, this::sendReport);
@@ -163,52 +164,6 @@
     this.server = new GatewayServer(group, traffic);
   }
 
-  private TrafficContext createTrafficContext(
-      GatewayHeaders headers,
-      ServerConnectionPools pools,
-      ServerLoads loads,
-      ModelWaitQueue waitQueue) {
-    return new TrafficContext(
-        loop,
-        clock,
-        headers,
-        state,
-        pools,
-        new ServerChooser(settings.dataCentre(), loads, quotas, ThreadLocalRandom.current(), clock),
-        loads,
-        new NamedLimits(headers, quotas, events),
-        quotas,
-        new RetryLimiter(
-            settings.retryRatio(),
-            settings.retrySlack(),
-            settings.retryWindowMillis(),
-            ASSUMED_NODES,
-            clock),
-        waitQueue,
-        new StreamOrigins(
-            clock,
-            state,
-            network,
-            (delayMillis, task) -> loop.schedule(task, delayMillis, TimeUnit.MILLISECONDS)),
-        crashes.guard(),
-        new ArrivalCounts(),
-        events,
-        metrics);
-  }
-
-  private SendQuotas createQuotas() {
-    return new SendQuotas(
-        new SendQuotas.Dependencies(
-            settings.node(),
-            network,
-            network::connect,
-            clock,
-            (delayMillis, task) -> loop.schedule(task, delayMillis, TimeUnit.MILLISECONDS),
-            state::isListed,
-            state::setLimits,
-            events));
-  }
-
   private PeerNetwork createNetwork() {
     return new PeerNetwork(
         new PeerIdentity(settings.node(), processId, settings.dataCentre(), ""),
@@ -285,6 +240,10 @@
         "store_era", "Era of the store; rises when it returns from an older copy", store::storeEra);
     metrics.registerGauge(
         "limited_servers", "Servers that name a limit on requests", quotas::limitedCount);
+    metrics.registerGauge(
+        "servers_reached",
+        "Whether this node reaches servers: 0 or 1",
+        () -> traffic.reach().isCutOff() ? 0 : 1);
     metrics.registerCounter("log_dropped", "Log lines dropped", events::droppedCount);
     network.listen(settings.peerAddress());
     server.listen(settings.readyAddress(), path -> readiness());
--- a/node/src/main/java/io/nutmegseam/node/gateway/TrafficContext.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/TrafficContext.java
@@ -14,6 +14,7 @@
  * @param state state published by the control thread
  * @param pools connection pools of the servers
  * @param chooser chooses servers
+ * @param reach whether this node reaches servers
  * @param loads load and failures of the servers
  * @param limits reads the limits that servers name
  * @param quotas keeps the limits that servers name
@@ -32,6 +33,7 @@
     GatewayState state,
     ServerConnectionPools pools,
     ServerChooser chooser,
+    ServerReach reach,
     ServerLoads loads,
     NamedLimits limits,
     SendQuotas quotas,
--- /dev/null
+++ b/node/src/main/java/io/nutmegseam/node/gateway/TrafficContextFactory.java
@@ -0,0 +1,101 @@
+package io.nutmegseam.node.gateway;
+
+import io.netty.channel.EventLoop;
+import io.nutmegseam.core.event.EventSink;
+import io.nutmegseam.node.control.TrafficTimer;
+import io.nutmegseam.node.peer.PeerNetwork;
+import io.nutmegseam.node.quota.SendQuotas;
+import java.time.InstantSource;
+import java.util.Random;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+
+/** Creates the components that requests share. */
+final class TrafficContextFactory {
+  /** Assumed number of nodes that share fleet-wide limits until the lease holder reports it. */
+  private static final int ASSUMED_NODES = 12;
+
+  private final Dependencies dependencies;
+  private final TrafficTimer timer;
+
+  /** What the components have in common. */
+  record Dependencies(
+      GatewaySettings settings,
+      GatewayHeaders headers,
+      EventLoop loop,
+      InstantSource clock,
+      GatewayState state,
+      PeerNetwork network,
+      EventSink events,
+      GatewayMetrics metrics) {}
+
+  /**
+   * Creates a factory.
+   *
+   * @param dependencies what the components have in common
+   */
+  TrafficContextFactory(Dependencies dependencies) {
+    this.dependencies = dependencies;
+    this.timer =
+        (delayMillis, task) ->
+            dependencies.loop().schedule(task, delayMillis, TimeUnit.MILLISECONDS);
+  }
+
+  /** Creates the components, with those that others use too. */
+  TrafficContext create(
+      ServerConnectionPools pools,
+      ServerLoads loads,
+      ModelWaitQueue waitQueue,
+      CrashGuard crashes) {
+    GatewaySettings settings = dependencies.settings();
+    InstantSource clock = dependencies.clock();
+    SendQuotas quotas = createQuotas();
+    return new TrafficContext(
+        dependencies.loop(),
+        clock,
+        dependencies.headers(),
+        dependencies.state(),
+        pools,
+        new ServerChooser(settings.dataCentre(), loads, quotas, ThreadLocalRandom.current(), clock),
+        createReach(pools),
+        loads,
+        new NamedLimits(dependencies.headers(), quotas, dependencies.events()),
+        quotas,
+        new RetryLimiter(
+            settings.retryRatio(),
+            settings.retrySlack(),
+            settings.retryWindowMillis(),
+            ASSUMED_NODES,
+            clock),
+        waitQueue,
+        new StreamOrigins(clock, dependencies.state(), dependencies.network(), timer),
+        crashes,
+        new ArrivalCounts(),
+        dependencies.events(),
+        dependencies.metrics());
+  }
+
+  private ServerReach createReach(ServerConnectionPools pools) {
+    return new ServerReach(
+        dependencies.state(),
+        (entry, onOutcome) -> pools.pool(entry.host(), entry.port()).probe(onOutcome),
+        timer,
+        new Random(),
+        dependencies.events());
+  }
+
+  private SendQuotas createQuotas() {
+    PeerNetwork network = dependencies.network();
+    GatewayState state = dependencies.state();
+    return new SendQuotas(
+        new SendQuotas.Dependencies(
+            dependencies.settings().node(),
+            network,
+            network::connect,
+            dependencies.clock(),
+            timer,
+            state::isListed,
+            state::setLimits,
+            dependencies.events()));
+  }
+}
--- a/node/src/test/java/io/nutmegseam/node/gateway/TestGateway.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/TestGateway.java
@@ -78,6 +78,12 @@
             state,
             new ServerConnectionPools(loop, HEADERS.requestId(), clock),
             new ServerChooser("dc", loads, quotas, new Random(1), clock),
+            new ServerReach(
+                state,
+                (server, onOutcome) -> {},
+                (delayMillis, task) -> {},
+                new Random(1),
+                (kind, subject, detail) -> {}),
             loads,
             new NamedLimits(HEADERS, quotas, (kind, subject, detail) -> {}),
             quotas,
