Failing test of nodes that are cut off from all servers, over five gateway nodes

With all nodes cut off, requests are refused after 400 ms instead of at once. The links of each node to each server on loopback can be cut in four ways (CuttableLink); a full backlog stands for attempts to connect that get no response. LimitedServer is RecordingServer now.

--- a/node/src/test/java/io/nutmegseam/node/gateway/CallerLoad.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/CallerLoad.java
@@ -28,12 +28,14 @@
    * What a caller got.
    *
    * @param label label of the request
+   * @param node the node to which it was sent
    * @param sentMillis when it was sent
    * @param endedMillis when the response ended
    * @param head head of the response
    * @param complete whether the response is complete
    */
-  record Result(String label, long sentMillis, long endedMillis, String head, boolean complete) {
+  record Result(
+      String label, String node, long sentMillis, long endedMillis, String head, boolean complete) {
     boolean isServed() {
       return head.startsWith("HTTP/1.1 200") && complete;
     }
@@ -114,7 +116,7 @@
     resultById.put(
         id,
         new Result(
-            label, sentMillis, System.currentTimeMillis(), text.substring(0, end), complete));
+            label, node, sentMillis, System.currentTimeMillis(), text.substring(0, end), complete));
     return null;
   }
 
--- /dev/null
+++ b/node/src/test/java/io/nutmegseam/node/gateway/CutOffNodeTest.java
@@ -0,0 +1,209 @@
+package io.nutmegseam.node.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import io.nutmegseam.core.fleet.ServerEntry;
+import io.nutmegseam.core.gateway.RequestKind;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/**
+ * Guards against callers that are refused since their node has lost its links to all servers, while
+ * other nodes reach them.
+ */
+class CutOffNodeTest {
+  private static final List<String> NODES = List.of("n1", "n2", "n3", "n4", "n5");
+  private static final int SERVERS = 4;
+
+  /** Time after which the callers of a node that is cut off must be served. */
+  private static final long STABLE_MILLIS = 3_000;
+
+  /** Nodes that are cut off serve at least this share of what the others do. */
+  private static final double MIN_RELATIVE_SHARE = 0.95;
+
+  @Nested
+  class CutOff {
+    @ParameterizedTest
+    @EnumSource(names = {"SILENT", "RESET", "SILENT_FOR_NEW", "REFUSED_FOR_NEW"})
+    @Tag("known-red")
+    void should_serve_the_callers_of_one_node(CuttableLink.Mode mode) throws Exception {
+      try (Scenario scenario = new Scenario(RequestKind.IDEMPOTENT)) {
+        scenario.callers.sendEvery(10, 100, "before", "x-{n}", "");
+        scenario.cut(mode, "n2");
+        scenario.callers.sendEvery(10, 600, "during", "y-{n}", "");
+        scenario.checkServed("during", List.of("n2"));
+      }
+    }
+
+    @ParameterizedTest
+    @EnumSource(names = {"SILENT", "RESET"})
+    @Tag("known-red")
+    void should_serve_the_callers_of_most_nodes(CuttableLink.Mode mode) throws Exception {
+      try (Scenario scenario = new Scenario(RequestKind.STREAMING)) {
+        scenario.callers.sendEvery(10, 100, "before", "x-{n}", "");
+        scenario.cut(mode, "n1", "n3", "n4");
+        scenario.callers.sendEvery(10, 600, "during", "y-{n}", "");
+        scenario.checkServed("during", List.of("n1", "n3", "n4"));
+      }
+    }
+
+    @Test
+    @Tag("known-red")
+    void should_serve_requests_that_may_run_once_and_run_them_once() throws Exception {
+      try (Scenario scenario = new Scenario(RequestKind.NON_IDEMPOTENT)) {
+        scenario.callers.sendEvery(10, 100, "before", "x-{n}", "");
+        // WHEN the cut comes and goes
+        Thread cuts = new Thread(() -> scenario.cutInTurns("n1", "n2"));
+        cuts.start();
+        scenario.callers.sendEvery(10, 800, "during", "y-{n}", "");
+        cuts.join();
+        // THEN
+        scenario.checkRunOnce();
+        scenario.cut(CuttableLink.Mode.SILENT, "n1", "n2");
+        scenario.callers.sendEvery(10, 600, "after", "z-{n}", "");
+        scenario.checkServed("after", List.of("n1", "n2"));
+        scenario.checkRunOnce();
+      }
+    }
+  }
+
+  /** No node reaches a server, or a single server fails. */
+  @Nested
+  class Unserved {
+    @Test
+    @Tag("known-red")
+    void should_refuse_at_once_if_no_node_reaches_a_server() throws Exception {
+      try (Scenario scenario = new Scenario(RequestKind.IDEMPOTENT)) {
+        scenario.callers.sendEvery(10, 50, "before", "x-{n}", "");
+        scenario.cut(CuttableLink.Mode.SILENT, NODES.toArray(String[]::new));
+        // WHEN
+        scenario.callers.sendEvery(20, 200, "during", "y-{n}", "");
+        // THEN
+        long stableMillis = scenario.cutMillis + STABLE_MILLIS;
+        assertThat(scenario.callers.results("during"))
+            .filteredOn(result -> result.sentMillis() > stableMillis)
+            .isNotEmpty()
+            .allSatisfy(
+                result -> {
+                  assertThat(result.head()).startsWith("HTTP/1.1 503").contains("retry-after");
+                  assertThat(result.durationMillis()).isLessThan(400);
+                });
+        // WHEN
+        scenario.cut(CuttableLink.Mode.OPEN, NODES.toArray(String[]::new));
+        Thread.sleep(1_500);
+        scenario.callers.sendEvery(20, 100, "after", "z-{n}", "");
+        // THEN
+        assertThat(scenario.callers.servedShare("after", 0)).isEqualTo(1);
+      }
+    }
+  }
+
+  private static final class Scenario implements AutoCloseable {
+    private final List<RecordingServer> servers = new ArrayList<>();
+    private final Map<String, Map<String, CuttableLink>> linkByServerByNode = new HashMap<>();
+    private final TestCluster cluster;
+    private final CallerLoad callers;
+    private long cutMillis;
+
+    private Scenario(RequestKind kind) throws Exception {
+      for (int i = 0; i < SERVERS; i++) {
+        servers.add(new RecordingServer("i" + i));
+      }
+      List<ServerEntry> entries = servers.stream().map(RecordingServer::entry).toList();
+      for (String node : NODES) {
+        for (ServerEntry entry : entries) {
+          linkByServerByNode
+              .computeIfAbsent(node, n -> new HashMap<>())
+              .put(entry.incarnation().id(), new CuttableLink(entry));
+        }
+      }
+      cluster =
+          new TestCluster(
+              TestGateway.route(kind, true),
+              entries,
+              (node, entry) ->
+                  linkByServerByNode.get(node).get(entry.incarnation().id()).at(entry));
+      for (String node : NODES) {
+        cluster.start(node);
+      }
+      callers = new CallerLoad(cluster, NODES, 48);
+      await().pollDelay(1_500, TimeUnit.MILLISECONDS).until(() -> true);
+    }
+
+    private void cut(CuttableLink.Mode mode, String... nodes) throws IOException {
+      cutMillis = System.currentTimeMillis();
+      for (String node : nodes) {
+        for (CuttableLink link : linkByServerByNode.get(node).values()) {
+          link.set(mode);
+        }
+      }
+    }
+
+    private void cutInTurns(String... nodes) {
+      try {
+        for (CuttableLink.Mode mode :
+            List.of(
+                CuttableLink.Mode.SILENT,
+                CuttableLink.Mode.RESET,
+                CuttableLink.Mode.SILENT_FOR_NEW)) {
+          cut(mode, nodes);
+          Thread.sleep(1_500);
+          cut(CuttableLink.Mode.OPEN, nodes);
+          Thread.sleep(1_000);
+        }
+      } catch (IOException | InterruptedException e) {
+        throw new IllegalStateException(e);
+      }
+    }
+
+    /** Checks that nodes that are cut off serve as many requests as the others. */
+    private void checkServed(String label, List<String> cutNodes) throws Exception {
+      long stableMillis = cutMillis + STABLE_MILLIS;
+      List<CallerLoad.Result> judged =
+          callers.results(label).stream().filter(r -> r.sentMillis() >= stableMillis).toList();
+      Map<Boolean, Double> servedShareByCut =
+          judged.stream()
+              .collect(
+                  Collectors.partitioningBy(
+                      result -> cutNodes.contains(result.node()),
+                      Collectors.averagingDouble(result -> result.isServed() ? 1 : 0)));
+      assertThat(servedShareByCut.get(true))
+          .as("share served at nodes that are cut off, others %s", servedShareByCut.get(false))
+          .isGreaterThan(MIN_RELATIVE_SHARE * servedShareByCut.get(false));
+      assertThat(servedShareByCut.get(false)).isGreaterThan(MIN_RELATIVE_SHARE);
+    }
+
+    private void checkRunOnce() {
+      Map<String, Long> runsById =
+          servers.stream()
+              .flatMap(server -> server.arrivals().stream())
+              .collect(Collectors.groupingBy(RecordingServer.Arrival::id, Collectors.counting()));
+      assertThat(runsById.values()).allSatisfy(runs -> assertThat(runs).isEqualTo(1));
+    }
+
+    @Override
+    public void close() throws IOException {
+      callers.close();
+      cluster.close();
+      for (Map<String, CuttableLink> links : linkByServerByNode.values()) {
+        for (CuttableLink link : links.values()) {
+          link.close();
+        }
+      }
+      for (RecordingServer server : servers) {
+        server.close();
+      }
+    }
+  }
+}
--- a/node/src/test/java/io/nutmegseam/node/gateway/NamedLimitTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/NamedLimitTest.java
@@ -132,17 +132,17 @@
   }
 
   private static final class Scenario implements AutoCloseable {
-    private final List<LimitedServer> servers = new ArrayList<>();
+    private final List<RecordingServer> servers = new ArrayList<>();
     private final TestCluster cluster;
     private final CallerLoad callers;
 
     private Scenario(RequestKind kind, int serverCount) throws Exception {
       for (int i = 0; i < serverCount; i++) {
-        servers.add(new LimitedServer("i" + i));
+        servers.add(new RecordingServer("i" + i));
       }
       cluster =
           new TestCluster(
-              TestGateway.route(kind, true), servers.stream().map(LimitedServer::entry).toList());
+              TestGateway.route(kind, true), servers.stream().map(RecordingServer::entry).toList());
       for (String node : NODES) {
         cluster.start(node);
       }
@@ -186,7 +186,7 @@
     public void close() throws IOException {
       callers.close();
       cluster.close();
-      for (LimitedServer server : servers) {
+      for (RecordingServer server : servers) {
         server.close();
       }
     }
--- a/node/src/test/java/io/nutmegseam/node/gateway/LimitedServer.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/RecordingServer.java
@@ -20,7 +20,7 @@
  * A backend server on loopback that takes any number of requests, whatever limit it names, and
  * records when they arrive.
  */
-final class LimitedServer implements AutoCloseable {
+final class RecordingServer implements AutoCloseable {
   private static final long RUN_MILLIS = 10;
   private static final String HEAD =
       TestGateway.lines("HTTP/1.1 %s|id: %s|receipt: r|%sTransfer-Encoding: chunked|");
@@ -29,18 +29,26 @@
 
   private final String id;
   private final ServerSocket listener = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
-  private final List<Long> arrivalMillis = new CopyOnWriteArrayList<>();
+  private final List<Arrival> arrivals = new CopyOnWriteArrayList<>();
   private volatile Optional<Double> limitPerSecond = Optional.empty();
   private volatile Predicate<String> fails = head -> false;
 
+  /**
+   * A request that has arrived.
+   *
+   * @param id id of the request
+   * @param atMillis when it arrived
+   */
+  record Arrival(String id, long atMillis) {}
+
   /**
    * Starts a server without limit.
    *
    * @param id id of the server
    */
-  LimitedServer(String id) throws IOException {
+  RecordingServer(String id) throws IOException {
     this.id = id;
-    Thread acceptor = new Thread(this::accept, "limited-server-" + id);
+    Thread acceptor = new Thread(this::accept, "recording-server-" + id);
     acceptor.setDaemon(true);
     acceptor.start();
   }
@@ -74,14 +82,23 @@
         new Inventory(0, false, Map.of(), Set.of(), Set.of()));
   }
 
+  /** Returns the requests that have arrived. */
+  List<Arrival> arrivals() {
+    return List.copyOf(arrivals);
+  }
+
   /** Returns the number of requests that arrived since a time and before another one. */
   long arrivals(long sinceMillis, long beforeMillis) {
-    return arrivalMillis.stream().filter(at -> at >= sinceMillis && at < beforeMillis).count();
+    return arrivals.stream()
+        .mapToLong(Arrival::atMillis)
+        .filter(at -> at >= sinceMillis && at < beforeMillis)
+        .count();
   }
 
   /** Returns the largest number of requests that arrived within 4 s, since a time. */
   long mostWithinWindow(long sinceMillis) {
-    return ArrivalWindow.most(arrivalMillis.stream().filter(at -> at >= sinceMillis).toList());
+    return ArrivalWindow.most(
+        arrivals.stream().map(Arrival::atMillis).filter(at -> at >= sinceMillis).toList());
   }
 
   @Override
@@ -93,7 +110,7 @@
     try {
       while (true) {
         Socket socket = listener.accept();
-        Thread worker = new Thread(() -> serve(socket), "limited-server-connection");
+        Thread worker = new Thread(() -> serve(socket), "recording-server-connection");
         worker.setDaemon(true);
         worker.start();
       }
@@ -106,7 +123,7 @@
     try (socket) {
       String head = StubServer.readRequest(socket.getInputStream());
       while (!head.isEmpty()) {
-        arrivalMillis.add(System.currentTimeMillis());
+        arrivals.add(new Arrival(StubServer.header(head, "id"), System.currentTimeMillis()));
         Thread.sleep(RUN_MILLIS);
         socket.getOutputStream().write(response(head).getBytes(StandardCharsets.UTF_8));
         socket.getOutputStream().flush();
--- a/node/src/test/java/io/nutmegseam/node/gateway/TestCluster.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/TestCluster.java
@@ -25,6 +25,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BiFunction;
 
 /** Gateway nodes on loopback with one store and the route of {@link TestGateway}. */
 final class TestCluster implements AutoCloseable {
@@ -36,6 +37,7 @@
   private final TestRowStore store = new TestRowStore();
   private final Map<String, ServerEntry> entryById = new ConcurrentHashMap<>();
   private final Route route;
+  private final BiFunction<String, ServerEntry, ServerEntry> view;
   private final Map<String, GatewayDaemon> daemonByNode = new HashMap<>();
   private final Map<String, HostPort> callerAddressByNode = new HashMap<>();
 
@@ -48,7 +50,20 @@
   }
 
   TestCluster(Route route, List<ServerEntry> entries) {
+    this(route, entries, (node, entry) -> entry);
+  }
+
+  /**
+   * Creates a cluster without nodes.
+   *
+   * @param route the route of the configuration
+   * @param entries entries of the servers
+   * @param view returns the entry of a server as a node sees it
+   */
+  TestCluster(
+      Route route, List<ServerEntry> entries, BiFunction<String, ServerEntry, ServerEntry> view) {
     this.route = route;
+    this.view = view;
     store.put(CONFIG_TABLE, CONFIG_KEY, "{}");
     entries.forEach(this::putEntry);
   }
@@ -94,7 +109,7 @@
         new GatewayDaemon(
             settings,
             TestGateway.HEADERS,
-            httpClient -> new GatewayDaemon.Platform(store, decoders(), new NoOrders()));
+            httpClient -> new GatewayDaemon.Platform(store, decoders(node), new NoOrders()));
     daemon.start();
     daemonByNode.put(node, daemon);
     callerAddressByNode.put(node, callerAddress);
@@ -120,7 +135,7 @@
     Set.copyOf(daemonByNode.keySet()).forEach(this::stop);
   }
 
-  private RowDecoders decoders() {
+  private RowDecoders decoders(String node) {
     GatewayConfig config =
         new GatewayConfig(
             1,
@@ -128,7 +143,11 @@
             Map.of("s", new ServiceSpec("s", 10, Optional.empty())),
             new GatewayLimits(8_192, 8_192, 1_000, 5_000));
     return new RowDecoders(
-        CONFIG_TABLE, CONFIG_KEY, SERVER_TABLE, row -> config, row -> entryById.get(row.key()));
+        CONFIG_TABLE,
+        CONFIG_KEY,
+        SERVER_TABLE,
+        row -> config,
+        row -> view.apply(node, entryById.get(row.key())));
   }
 
   private static boolean isReady(HostPort address) {
