Count the attempts of other nodes towards those of the route

Cause: a node that got an error of a server through another node retried it at a third one, and each of them used the attempts that it believed were left: an idempotent request whose servers fail ran at more than the two servers of its route. An error that comes through another node is now forwarded, and counts as the last attempt.

CutOffNodeTest$Attempts failed before.

--- a/node/src/main/java/io/nutmegseam/node/gateway/AttemptHistory.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/AttemptHistory.java
@@ -2,6 +2,7 @@
 
 import io.nutmegseam.core.error.RanStatus;
 import io.nutmegseam.core.error.RequestException;
+import io.nutmegseam.core.fleet.ServerEntry;
 import io.nutmegseam.core.gateway.RequestKind;
 import io.nutmegseam.core.gateway.Route;
 
@@ -32,6 +33,11 @@
     runs++;
   }
 
+  /** Records a failure of a server, or of a node that has used the attempts that were left. */
+  void onFailed(ServerEntry server, Route route) {
+    runs = PeerTargets.isPeer(server) ? Math.max(runs + 1, route.maxAttempts()) : runs + 1;
+  }
+
   /** Records an attempt that is given up; the request may have run if it was sent. */
   void onAbandoned(Attempt attempt) {
     if (attempt != null && attempt.isSent()) {
@@ -71,9 +77,14 @@
     return route.isRetryable() && runs < route.maxAttempts();
   }
 
-  /** Returns whether an error of a server can be replaced by the response of another one. */
-  boolean canReplaceError(Route route) {
-    return route.kind() == RequestKind.IDEMPOTENT && canRunAgainAfterThis(route);
+  /**
+   * Returns whether an error of a server can be replaced by the response of another one. An error
+   * that comes through another node is the last of its attempts.
+   */
+  boolean canReplaceError(ServerEntry server, Route route) {
+    return route.kind() == RequestKind.IDEMPOTENT
+        && !PeerTargets.isPeer(server)
+        && canRunAgainAfterThis(route);
   }
 
   /** Returns whether the request can be sent to another server if the present attempt fails. */
--- a/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
@@ -176,9 +176,7 @@
     admission.onlyVersion().ifPresent(selection::restrictSoftwareVersion);
     Optional<ServerEntry> chosen = selection.choose();
     if (chosen.isPresent() && !history.mayHaveRun() && selection.wouldMissTarget(chosen.get())) {
-      refuse(
-          GatewayErrors.queueTooLong(
-              plan.description(), plan.route().targetLatencyMillis(), RetryAfter.jitteredMillis()));
+      refuse(GatewayErrors.queueTooLong(plan));
     } else if (chosen.isPresent()) {
       modelWait.leave();
       permitWait.acquire(selection, chosen.get(), this::send, this::dispatch);
@@ -298,8 +296,9 @@
 
   @Override
   public boolean isFailureWithheld(HttpStatusClass statusClass) {
-    boolean serverError = statusClass == HttpStatusClass.SERVER_ERROR;
-    return relay.isStarted() || (serverError && history.canReplaceError(plan.route()));
+    return relay.isStarted()
+        || (statusClass == HttpStatusClass.SERVER_ERROR
+            && history.canReplaceError(attempt.server(), plan.route()));
   }
 
   @Override
@@ -360,7 +359,7 @@
   public void onFailure(HttpResponse head, ByteString body, String reason) {
     ServerEntry server = attempt.server();
     selection.exclude(server);
-    history.onRan();
+    history.onFailed(server, plan.route());
     Optional<ServerEntry> next = mayRunAgain() ? selection.choose() : Optional.empty();
     Runnable respond = () -> respondWithFailure(server, head, body, reason);
     if (next.isEmpty() || !context.retries().tryAcquire(plan.service())) {
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayErrors.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayErrors.java
@@ -107,12 +107,12 @@
   }
 
   /** Returns the error for a request that would miss its target latency in a server's queue. */
-  static RequestException queueTooLong(
-      String description, long targetMillis, long retryAfterMillis) {
+  static RequestException queueTooLong(RequestPlan plan) {
     return new RequestException(
         ErrorKind.QUEUE_FULL,
-        "%s: no server responds within the target of %d ms".formatted(description, targetMillis),
-        retryAfterMillis);
+        "%s: no server responds within the target of %d ms"
+            .formatted(plan.description(), plan.route().targetLatencyMillis()),
+        RetryAfter.jitteredMillis());
   }
 
   /** Returns the error for a deadline that passed, by whether a server may have the request. */
--- a/node/src/test/java/io/nutmegseam/node/gateway/CutOffNodeTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/CutOffNodeTest.java
@@ -25,6 +25,9 @@
   private static final List<String> NODES = List.of("n1", "n2", "n3", "n4", "n5");
   private static final int SERVERS = 4;
 
+  /** Attempts that the route of {@link TestGateway} allows. */
+  private static final long MAX_ATTEMPTS = 2;
+
   /** Time after which the callers of a node that is cut off must be served. */
   private static final long STABLE_MILLIS = 3_000;
 
@@ -74,6 +77,26 @@
     }
   }
 
+  @Nested
+  class Attempts {
+    /** Guards against nodes that each use up the attempts of the route for one request. */
+    @Test
+    void should_not_run_a_request_at_more_servers_than_its_route_allows() throws Exception {
+      try (Scenario scenario = new Scenario(RequestKind.IDEMPOTENT)) {
+        // GIVEN
+        scenario.cut(CuttableLink.Mode.RESET, "n1", "n2");
+        scenario.callers.sendEvery(10, 100, "before", "x-{n}", "");
+        scenario.servers.forEach(server -> server.failRequests(head -> true));
+        // WHEN
+        scenario.callers.sendEvery(20, 200, "failing", "y-{n}", "");
+        scenario.callers.results("failing");
+        // THEN
+        assertThat(scenario.runsById().values())
+            .allSatisfy(runs -> assertThat(runs).isLessThanOrEqualTo(MAX_ATTEMPTS));
+      }
+    }
+  }
+
   /** No node reaches a server, or a single server fails. */
   @Nested
   class Unserved {
@@ -180,11 +203,14 @@
     }
 
     private void checkRunOnce() {
-      Map<String, Long> runsById =
-          servers.stream()
-              .flatMap(server -> server.arrivals().stream())
-              .collect(Collectors.groupingBy(RecordingServer.Arrival::id, Collectors.counting()));
-      assertThat(runsById.values()).allSatisfy(runs -> assertThat(runs).isEqualTo(1));
+      assertThat(runsById().values()).allSatisfy(runs -> assertThat(runs).isEqualTo(1));
+    }
+
+    /** Returns how many servers have run each request. */
+    private Map<String, Long> runsById() {
+      return servers.stream()
+          .flatMap(server -> server.arrivals().stream())
+          .collect(Collectors.groupingBy(RecordingServer.Arrival::id, Collectors.counting()));
     }
 
     @Override
