--- a/node/src/test/java/io/nutmegseam/node/gateway/CallerLoad.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/CallerLoad.java
@@ -32,10 +32,17 @@
    * @param sentMillis when it was sent
    * @param endedMillis when the response ended
    * @param head head of the response
+   * @param body body of the response as sent, with chunk sizes
    * @param complete whether the response is complete
    */
   record Result(
-      String label, String node, long sentMillis, long endedMillis, String head, boolean complete) {
+      String label,
+      String node,
+      long sentMillis,
+      long endedMillis,
+      String head,
+      String body,
+      boolean complete) {
     boolean isServed() {
       return head.startsWith("HTTP/1.1 200") && complete;
     }
@@ -76,7 +83,8 @@
   void sendEvery(long intervalMillis, int count, String label, String path, String headers)
       throws InterruptedException {
     for (int i = 0; i < count; i++) {
-      send(label, i % nodes.size(), path, headers.replace("{n}", String.valueOf(i)));
+      String number = String.valueOf(i);
+      send(label, i % nodes.size(), path.replace("{n}", number), headers.replace("{n}", number));
       Thread.sleep(intervalMillis);
     }
   }
@@ -116,7 +124,13 @@
     resultById.put(
         id,
         new Result(
-            label, node, sentMillis, System.currentTimeMillis(), text.substring(0, end), complete));
+            label,
+            node,
+            sentMillis,
+            System.currentTimeMillis(),
+            text.substring(0, end),
+            text.substring(end),
+            complete));
     return null;
   }
 
--- a/node/src/test/java/io/nutmegseam/node/gateway/RecordingServer.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/RecordingServer.java
@@ -8,6 +8,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
@@ -21,17 +22,23 @@
  * records when they arrive.
  */
 final class RecordingServer implements AutoCloseable {
-  private static final long RUN_MILLIS = 10;
+  private static final int POLL_MILLIS = 20;
   private static final String HEAD =
-      TestGateway.lines("HTTP/1.1 %s|id: %s|receipt: r|%sTransfer-Encoding: chunked|");
-  private static final String BODY =
-      TestGateway.lines("Content-Type: text/event-stream||f|") + "id: 1\ndata: a\n\n\r\n0\r\n\r\n";
+      TestGateway.lines(
+          "HTTP/1.1 %s|id: %s|receipt: r|%sContent-Type: text/event-stream|Transfer-Encoding: chunked||");
+  private static final String REJECTION =
+      TestGateway.lines("HTTP/1.1 503 Full|id: %s|receipt: r|not-run: full|%sContent-Length: 0||");
+  private static final String END = "0\r\n\r\n";
 
   private final String id;
   private final ServerSocket listener = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
   private final List<Arrival> arrivals = new CopyOnWriteArrayList<>();
   private volatile Optional<Double> limitPerSecond = Optional.empty();
+  private final List<Long> abandonedMillis = new CopyOnWriteArrayList<>();
   private volatile Predicate<String> fails = head -> false;
+  private volatile long runMillis = 10;
+  private volatile int events = 1;
+  private volatile Optional<ServerRoom> room = Optional.empty();
 
   /**
    * A request that has arrived.
@@ -63,6 +70,30 @@
     limitPerSecond = Optional.empty();
   }
 
+  /**
+   * Makes the server respond with streams.
+   *
+   * @param count number of events
+   * @param intervalMillis time before each event, in milliseconds
+   */
+  void stream(int count, long intervalMillis) {
+    events = count;
+    runMillis = intervalMillis;
+  }
+
+  /**
+   * Makes the server name in its responses how many requests it can reject within a second, and
+   * fall over when it has to reject more.
+   */
+  void beBrittle(ServerRoom next) {
+    room = Optional.of(next);
+  }
+
+  /** Returns when connections were closed while the server ran a request. */
+  List<Long> abandonedMillis() {
+    return List.copyOf(abandonedMillis);
+  }
+
   /** Makes the server respond with an error to requests with certain heads. */
   void failRequests(Predicate<String> failing) {
     fails = failing;
@@ -124,23 +155,89 @@
       String head = StubServer.readRequest(socket.getInputStream());
       while (!head.isEmpty()) {
         arrivals.add(new Arrival(StubServer.header(head, "id"), System.currentTimeMillis()));
-        Thread.sleep(RUN_MILLIS);
-        socket.getOutputStream().write(response(head).getBytes(StandardCharsets.UTF_8));
-        socket.getOutputStream().flush();
+        if (!handle(socket, head)) {
+          return;
+        }
+        socket.setSoTimeout(0);
         head = StubServer.readRequest(socket.getInputStream());
       }
     } catch (IOException e) {
       // The node has closed the connection.
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
     }
   }
 
-  private String response(String head) {
-    String limit = limitPerSecond.map(perSecond -> "request-limit: " + perSecond).orElse("");
+  /** Rejects or runs a request; returns false if the connection ends. */
+  private boolean handle(Socket socket, String head) throws IOException {
+    Optional<ServerRoom> current = room;
+    ServerRoom.Outcome outcome = current.map(ServerRoom::enter).orElse(ServerRoom.Outcome.ACCEPTED);
+    if (outcome == ServerRoom.Outcome.DOWN) {
+      return false;
+    }
+    if (outcome == ServerRoom.Outcome.REJECTED) {
+      write(socket, REJECTION.formatted(StubServer.header(head, "id"), limitHeaders()));
+      return true;
+    }
+    try {
+      if (!respond(socket, head)) {
+        abandonedMillis.add(System.currentTimeMillis());
+        return false;
+      }
+    } finally {
+      current.ifPresent(ServerRoom::leave);
+    }
+    write(socket, END);
+    return true;
+  }
+
+  /**
+   * Responds from the event on that the request asks for, without the end of the response; returns
+   * false if the request is abandoned.
+   */
+  private boolean respond(Socket socket, String head) throws IOException {
+    String last = StubServer.header(head, "last");
+    int first = last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
+    for (int event = first; event <= events; event++) {
+      if (!isConnectedFor(socket, runMillis)) {
+        return false;
+      }
+      String text = "id: %d\ndata: %s\n\n".formatted(event, id);
+      String chunk = Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+      write(socket, event == first ? responseHead(head) + chunk : chunk);
+    }
+    return true;
+  }
+
+  /** Waits for a time; returns false if the connection is closed meanwhile. */
+  private static boolean isConnectedFor(Socket socket, long millis) throws IOException {
+    long untilMillis = System.currentTimeMillis() + millis;
+    while (System.currentTimeMillis() < untilMillis) {
+      socket.setSoTimeout((int) Math.min(POLL_MILLIS, millis));
+      try {
+        if (socket.getInputStream().read() < 0) {
+          return false;
+        }
+      } catch (SocketTimeoutException e) {
+        // The node sends nothing while the server runs its request.
+      }
+    }
+    return true;
+  }
+
+  private static void write(Socket socket, String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+    socket.getOutputStream().flush();
+  }
+
+  private String responseHead(String head) {
     String status = fails.test(head) ? "500 Failed" : "200 OK";
-    return HEAD.formatted(
-            status, StubServer.header(head, "id"), limit.isEmpty() ? "" : limit + "\r\n")
-        + BODY;
+    return HEAD.formatted(status, StubServer.header(head, "id"), limitHeaders());
+  }
+
+  private String limitHeaders() {
+    String limit =
+        limitPerSecond.map(perSecond -> "request-limit: " + perSecond + "\r\n").orElse("");
+    return limit
+        + room.map(known -> "rejection-limit: " + known.maxRejectionsPerSecond() + "\r\n")
+            .orElse("");
   }
 }
