Take no refused connection for a crash at a node that is cut off from servers

Callers whose requests ran at several servers while their node was cut off from all of them by resets were refused everywhere as crashing servers, for some 70 ms, until another node reported a success. Cause: a connection that is refused right after a loss counts as the crash of a server, also at a node that reaches none; three of them condemn what ran there. Class: as for nodes without servers, a node that counts on its own view of something that others see better. Seen in the lines of a test with two nodes cut off by resets (SERVER_CRASHED three times, then CRASH_VERDICT at five nodes). Ruled out: crashes, since no server of that test had ended.

Change: a node that reaches less than half of the servers reports no crash for a refused connection; the list of servers still can.

--- a/node/src/main/java/io/nutmegseam/node/gateway/CrashDetector.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/CrashDetector.java
@@ -15,8 +15,9 @@
 /**
  * Tells a server that has crashed from one whose connection was lost. A server has crashed if it
  * refuses connections right after the loss, or if the loss is followed by the end of its entry or
- * by its next start. A server that was draining or no longer listed has stopped as planned.
- * Confined to the traffic thread.
+ * by its next start. A server that was draining or no longer listed has stopped as planned. To a
+ * node that reaches less than half of the servers, refused connections show nothing. Confined to
+ * the traffic thread.
  */
 final class CrashDetector {
   /** The listener of a process that ends may outlive its connections for a moment. */
@@ -118,7 +119,8 @@
     if (!pending) {
       return;
     }
-    if (listens.equals(Optional.of(false)) && state.isServing(loss.server)) {
+    boolean refused = listens.equals(Optional.of(false));
+    if (refused && state.isServing(loss.server) && state.reachesServers()) {
       loss.crashed = true;
       report(loss, "connection refused");
     } else if (!last) {
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayState.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayState.java
@@ -61,6 +61,11 @@
     maySendOrders = reachesServers || !peerAvailable;
   }
 
+  /** Returns whether the node reaches most servers. */
+  boolean reachesServers() {
+    return reachesServers;
+  }
+
   /** Returns whether the node reaches servers, or no other node that it knows does. */
   boolean maySendOrders() {
     return maySendOrders;
