--- a/node/src/test/java/io/nutmegseam/node/gateway/CutOffNodeTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/CutOffNodeTest.java
@@ -6,6 +6,8 @@
 import io.nutmegseam.core.fleet.ServerEntry;
 import io.nutmegseam.core.gateway.RequestKind;
 import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -15,6 +17,8 @@
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
@@ -22,6 +26,7 @@
  * Guards against callers that are refused since their node has lost its links to all servers, while
  * other nodes reach them.
  */
+@Execution(ExecutionMode.CONCURRENT)
 class CutOffNodeTest {
   private static final List<String> NODES = List.of("n1", "n2", "n3", "n4", "n5");
   private static final int SERVERS = 4;
@@ -78,6 +83,41 @@
     }
   }
 
+  @Nested
+  class Streams {
+    @Test
+    void should_forward_whole_streams_of_a_node_that_is_cut_off_and_those_that_the_cut_breaks()
+        throws Exception {
+      try (Scenario scenario = new Scenario(RequestKind.STREAMING)) {
+        // GIVEN streams of 0.5 s
+        scenario.servers.forEach(server -> server.stream(5, 100));
+        // WHEN the cut comes while streams are on their way
+        scenario.callers.sendEvery(20, 10, "before", "x-{n}", "");
+        scenario.cut(CuttableLink.Mode.RESET, "n2");
+        scenario.callers.sendEvery(20, 100, "during", "y-{n}", "");
+        // THEN
+        assertThat(scenario.callers.results("before")).allSatisfy(CutOffNodeTest::checkStream);
+        assertThat(scenario.callers.results("during")).allSatisfy(CutOffNodeTest::checkStream);
+      }
+    }
+
+    @Test
+    void should_end_the_run_of_a_caller_that_has_left() throws Exception {
+      try (Scenario scenario = new Scenario(RequestKind.STREAMING)) {
+        // GIVEN
+        scenario.cut(CuttableLink.Mode.RESET, "n2");
+        scenario.callers.sendEvery(10, 200, "before", "x-{n}", "");
+        scenario.callers.results("before");
+        scenario.servers.forEach(server -> server.stream(5, 150));
+        // WHEN
+        long leftMillis = scenario.leaveAfter("n2", 300);
+        // THEN
+        await().atMost(1, TimeUnit.SECONDS).until(() -> scenario.abandonedMillis().size() == 1);
+        assertThat(scenario.abandonedMillis().get(0)).isLessThan(leftMillis + 500);
+      }
+    }
+  }
+
   /** A node that reaches no server cannot order loads. */
   @Nested
   class OrderLeaseHolder {
@@ -148,6 +188,13 @@
     }
   }
 
+  /** Checks that a stream of five events is complete, with each event once and in order. */
+  private static void checkStream(CallerLoad.Result result) {
+    assertThat(result.isServed()).as("%s", result).isTrue();
+    List<String> ids = result.body().lines().filter(line -> line.startsWith("id: ")).toList();
+    assertThat(ids).containsExactly("id: 1", "id: 2", "id: 3", "id: 4", "id: 5");
+  }
+
   private static final class Scenario implements AutoCloseable {
     private final List<RecordingServer> servers = new ArrayList<>();
     private final Map<String, Map<String, CuttableLink>> linkByServerByNode = new HashMap<>();
@@ -180,6 +227,20 @@
       await().pollDelay(1_500, TimeUnit.MILLISECONDS).until(() -> true);
     }
 
+    /** Sends a request and closes its connection after a time; returns when that was. */
+    private long leaveAfter(String node, long millis) throws Exception {
+      try (Socket socket = cluster.connect(node)) {
+        String request = "POST /p/left HTTP/1.1\r\nHost: h\r\nid: left\r\n\r\n";
+        socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+        Thread.sleep(millis);
+      }
+      return System.currentTimeMillis();
+    }
+
+    private List<Long> abandonedMillis() {
+      return servers.stream().flatMap(server -> server.abandonedMillis().stream()).toList();
+    }
+
     /** Returns the node that holds the order lease. */
     private Optional<String> leaseHolder() throws Exception {
       String row = cluster.leaseRow();
