--- a/node/src/test/java/io/nutmegseam/node/gateway/CuttableLink.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/CuttableLink.java
@@ -1,6 +1,7 @@
 package io.nutmegseam.node.gateway;
 
 import io.nutmegseam.core.fleet.ServerEntry;
+import io.nutmegseam.node.settings.ReservedPorts;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -22,6 +23,7 @@
   private final int serverPort;
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
   private final List<Socket> unaccepted = new ArrayList<>();
+  private final ReservedPorts ports = new ReservedPorts();
   private final int port;
   private volatile ServerSocket listener;
   private volatile Mode mode = Mode.OPEN;
@@ -52,8 +54,8 @@
   /** Opens a link to a server. */
   CuttableLink(ServerEntry server) throws IOException {
     serverPort = server.port();
-    listener = listen(0);
-    port = listener.getLocalPort();
+    port = ports.next().port();
+    listener = listen(port);
     Thread acceptor = new Thread(this::accept, "cuttable-link");
     acceptor.setDaemon(true);
     acceptor.start();
@@ -95,6 +97,7 @@
 
   /** Opens connections until the kernel drops further attempts, since none is accepted. */
   private void fillBacklog() throws IOException {
+    waitForAcceptor();
     boolean accepted = true;
     while (accepted) {
       Socket socket = new Socket();
@@ -108,6 +111,15 @@
     }
   }
 
+  /** Waits until the acceptor does not accept one more connection. */
+  private static void waitForAcceptor() {
+    try {
+      Thread.sleep(3 * POLL_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private static ServerSocket listen(int port) throws IOException {
     ServerSocket socket = new ServerSocket();
     socket.setReuseAddress(true);
@@ -191,5 +203,6 @@
     listener.close();
     reset(sockets);
     reset(unaccepted);
+    ports.close();
   }
 }
--- a/node/src/test/java/io/nutmegseam/node/gateway/TestCluster.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/TestCluster.java
@@ -14,9 +14,8 @@
 import io.nutmegseam.core.orders.OrderResponse;
 import io.nutmegseam.core.platform.Row;
 import io.nutmegseam.node.settings.HostPort;
+import io.nutmegseam.node.settings.ReservedPorts;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -39,6 +38,7 @@
   private final Map<String, ServerEntry> entryById = new ConcurrentHashMap<>();
   private final Route route;
   private final BiFunction<String, ServerEntry, ServerEntry> view;
+  private final ReservedPorts ports = new ReservedPorts();
   private final Map<String, GatewayDaemon> daemonByNode = new HashMap<>();
   private final Map<String, HostPort> callerAddressByNode = new HashMap<>();
 
@@ -87,17 +87,17 @@
 
   /** Starts a node, and waits until it is ready. */
   TestCluster start(String node, String dataCentre) throws IOException {
-    HostPort readyAddress = freeAddress();
-    HostPort callerAddress = freeAddress();
+    HostPort readyAddress = ports.next();
+    HostPort callerAddress = ports.next();
     GatewaySettings settings =
         new GatewaySettings(
             node,
             dataCentre,
             callerAddress,
             readyAddress,
-            freeAddress(),
-            Optional.of(freeAddress()),
-            freeAddress(),
+            ports.next(),
+            Optional.of(ports.next()),
+            ports.next(),
             new HostPort(LOOPBACK, 1),
             1_000,
             0,
@@ -140,6 +140,7 @@
   @Override
   public void close() {
     Set.copyOf(daemonByNode.keySet()).forEach(this::stop);
+    ports.close();
   }
 
   private RowDecoders decoders(String node) {
@@ -167,12 +168,6 @@
     }
   }
 
-  private static HostPort freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return new HostPort(LOOPBACK, socket.getLocalPort());
-    }
-  }
-
   /** The servers of the tests take no orders. */
   private static final class NoOrders implements ServerOrders {
     @Override
--- a/node/src/test/java/io/nutmegseam/node/gateway/TestGateway.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/TestGateway.java
@@ -18,10 +18,10 @@
 import io.nutmegseam.node.peer.generated.PeerFrame;
 import io.nutmegseam.node.quota.SendQuotas;
 import io.nutmegseam.node.settings.HostPort;
+import io.nutmegseam.node.settings.ReservedPorts;
 import java.io.IOException;
 import java.lang.management.ManagementFactory;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
@@ -66,6 +66,7 @@
   private final GatewayState state = new GatewayState();
   private final ModelWaitQueue waitQueue = new ModelWaitQueue(() -> {});
   private final EventLoop loop = group.next();
+  private final ReservedPorts ports = new ReservedPorts();
   private final int port;
 
   TestGateway() throws IOException {
@@ -119,10 +120,9 @@
             new ArrivalCounts(),
             (kind, subject, detail) -> {},
             new GatewayMetrics());
-    try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      port = probe.getLocalPort();
-    }
-    new GatewayServer(group, context).listen(new HostPort("127.0.0.1", port));
+    HostPort address = ports.next();
+    port = address.port();
+    new GatewayServer(group, context).listen(address);
   }
 
   /** Returns the quotas of a node without peers, which knows no limits. */
@@ -155,6 +155,7 @@
   @Override
   public void close() {
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    ports.close();
   }
 
   /** Returns the route of the host h and the path /p/, with a timeout of one second. */
--- a/node/src/test/java/io/nutmegseam/node/peer/PeerNetworkTest.java
+++ b/node/src/test/java/io/nutmegseam/node/peer/PeerNetworkTest.java
@@ -10,10 +10,10 @@
 import io.nutmegseam.node.peer.generated.PeerFrame;
 import io.nutmegseam.node.settings.HostPort;
 import io.nutmegseam.node.settings.NodeSettings;
+import io.nutmegseam.node.settings.ReservedPorts;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Path;
 import java.time.Clock;
@@ -32,12 +32,13 @@
 
   private final List<EventKind> events = new CopyOnWriteArrayList<>();
   private final List<PeerFrame> frames = new CopyOnWriteArrayList<>();
+  private final ReservedPorts ports = new ReservedPorts();
   private HostPort address;
   private PeerNetwork network;
 
   @BeforeEach
   void listen() throws IOException {
-    address = new HostPort("127.0.0.1", freePort());
+    address = ports.next();
     network = network("n1", "token");
     network.listen(address);
   }
@@ -45,6 +46,7 @@
   @AfterEach
   void close() {
     network.close();
+    ports.close();
   }
 
   @Nested
@@ -154,7 +156,7 @@
       // GIVEN
       NodeSettings.PeerTls keys = TestKeys.create(folder, "ours");
       NodeSettings.PeerTls foreignKeys = TestKeys.create(folder, "foreign");
-      HostPort secureAddress = new HostPort("127.0.0.1", freePort());
+      HostPort secureAddress = ports.next();
       try (PeerNetwork server = network("s1", "token", keys);
           PeerNetwork trustedPeer = network("s2", "token", keys);
           PeerNetwork rejectedPeer = network("s3", "token", foreignKeys);
@@ -175,7 +177,7 @@
     void should_use_replaced_keys_without_a_restart() throws Exception {
       // GIVEN
       NodeSettings.PeerTls keys = TestKeys.create(folder, "ours");
-      HostPort secureAddress = new HostPort("127.0.0.1", freePort());
+      HostPort secureAddress = ports.next();
       try (PeerNetwork server = network("s1", "token", keys);
           PeerNetwork trustedPeer = network("s2", "token", keys)) {
         server.listen(secureAddress);
@@ -188,12 +190,6 @@
     }
   }
 
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    }
-  }
-
   /** Writes bytes to a connection. */
   private interface SocketWriter {
     void write(OutputStream out) throws IOException;
--- a/node/src/test/java/io/nutmegseam/node/quota/QuotaNetwork.java
+++ b/node/src/test/java/io/nutmegseam/node/quota/QuotaNetwork.java
@@ -176,10 +176,10 @@
     }
 
     private void respond(long delayMillis, int current, long sentMillis, boolean rejected) {
-      schedule(delayMillis, () -> runUnlessFrozen(current, () -> onResponse(sentMillis, rejected)));
+      schedule(delayMillis, () -> runUnlessFrozen(current, () -> onEnd(sentMillis, rejected)));
     }
 
-    private void onResponse(long sentMillis, boolean rejected) {
+    private void onEnd(long sentMillis, boolean rejected) {
       inFlight--;
       if (!limits.isNone()) {
         toldMillis = Math.min(toldMillis, nowMillis);
@@ -260,7 +260,6 @@
     nodeByName.get(other).neighbours.add(one);
   }
 
-  /** Starts all nodes. */
   void start() {
     nodeByName.values().forEach(Node::start);
   }
@@ -309,10 +308,6 @@
     } else {
       cutDataCentres.remove(dataCentre);
     }
-    disturbDataCentre(dataCentre);
-  }
-
-  private void disturbDataCentre(String dataCentre) {
     nodeByName.values().stream()
         .filter(node -> node.record.dataCentre().equals(dataCentre))
         .forEach(node -> node.disturbedMillis = nowMillis);
