--- a/node/src/test/java/io/nutmegseam/node/gateway/CrashingPartTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/CrashingPartTest.java
@@ -6,11 +6,14 @@
 import java.util.List;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 
 /**
  * Guards against requests that crash servers by one part of their prompts, which are sent to
  * servers again and again since no two of them are alike.
  */
+@Execution(ExecutionMode.CONCURRENT)
 class CrashingPartTest {
   /** Time after which all nodes must know what the crashes show. */
   private static final long STABLE_MILLIS = 3_000;
--- a/node/src/test/java/io/nutmegseam/node/gateway/CrashingRequestTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/CrashingRequestTest.java
@@ -6,11 +6,14 @@
 import java.util.List;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 
 /**
  * Guards against a request that crashes each server that runs it and is sent to servers again and
  * again, by any node and with any id.
  */
+@Execution(ExecutionMode.CONCURRENT)
 class CrashingRequestTest {
   /** Time after which all nodes must know what the crashes show. */
   private static final long STABLE_MILLIS = 3_000;
--- a/node/src/test/java/io/nutmegseam/node/gateway/NamedLimitTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/NamedLimitTest.java
@@ -10,11 +10,14 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 
 /**
  * Guards against a server that gets more requests than the limit which it names, since each node
  * sends as many as it would without a limit, or as many as the limit allows to all of them.
  */
+@Execution(ExecutionMode.CONCURRENT)
 class NamedLimitTest {
   private static final List<String> NODES = List.of("n1", "n2", "n3", "n4", "n5");
 
