Check settings that change while a node runs

Operators who change the settings file and send SIGHUP saw one line, "settings are read only at start", whatever the file held: a malformed one was noticed when the process started next, and did not start. The file is now read and checked: SETTINGS_REFUSED (105) with what is wrong, or SETTINGS_RELOADED with what has changed. The running node keeps its settings in both cases, as before.

SettingsReloadTest covers each length of a partly written file; it has no counterpart on the code before, which read nothing.

--- a/core/src/main/java/io/nutmegseam/core/event/EventKind.java
+++ b/core/src/main/java/io/nutmegseam/core/event/EventKind.java
@@ -12,6 +12,8 @@
   NODE_STOPPED(103),
   /** A reload of the settings was requested; a running node keeps its settings. */
   SETTINGS_RELOADED(104),
+  /** Changed settings are unreadable or invalid; the running node keeps its settings. */
+  SETTINGS_REFUSED(105),
   /** The node acquired its lease; in a gateway, the lease for load and unload orders. */
   LEASE_ACQUIRED(110),
   /** The node lost its lease and must not act as lease holder. */
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
@@ -320,9 +320,9 @@
     group.shutdownGracefully(0, 0, TimeUnit.SECONDS).awaitUninterruptibly();
   }
 
-  /** Logs the request to reload the settings, which are read only at the start of the node. */
-  public void reload() {
-    events.record(EventKind.SETTINGS_RELOADED, settings.node(), "settings are read only at start");
+  /** Checks changed settings, which take effect at the next start of the node. */
+  public void reload(SettingsReload.Source source) {
+    new SettingsReload(settings, events).check(source);
   }
 
   private StatusResponder.Response readiness() {
