Keep the origins of streams in the store while a service has several software versions

Cause: what nodes know of origins lives in their memory and that of their keepers, which are nodes too; all of it is gone at once. Ruled out: missing servers (servers of both versions were there) and a wait that is too short (the first takers came 5 s after the nodes were back). Class: what must last does not live on the platform.

Change: StoredOrigins. A node writes the origins of its streams to one row while the service has several versions, and reads the rows of all nodes when it looks for an origin that no node knows. The rows are in a table that nobody follows. A lookup is taken out of StreamOrigins (OriginLookup) without change.

--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
@@ -133,6 +133,7 @@
         new DemandReporter(
             thread, loop, traffic.arrivals(), waitQueue, traffic.loads(), clock, this::sendReport);
     Platform adapters = platform.apply(new BufferedHttpClient(loop, pools, clock));
+    traffic.keepOriginsInStore(settings.node(), adapters.rows());
     this.fleet =
         new FleetControl(
             state, adapters.decoders(), clock, events, () -> loop.execute(waitQueue::retryAll));
@@ -232,6 +233,7 @@
     loop.execute(
         () -> {
           quotas.setNodes(nodes);
+          traffic.origins().setNodeCount(nodes.size());
           traffic.peers().setNodes(nodes);
         });
     crashes.onRows(update);
--- a/node/src/main/java/io/nutmegseam/node/gateway/StreamOrigins.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/StreamOrigins.java
@@ -16,7 +16,6 @@
 import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -61,7 +60,8 @@
   private final TrafficTimer timer;
   private final StreamOriginTable table;
   private final Deque<Unshared> unshared = new ArrayDeque<>();
-  private final Map<Long, Lookup> lookupById = new HashMap<>();
+  private final Map<Long, OriginLookup> lookupById = new HashMap<>();
+  private Optional<StoredOrigins> store = Optional.empty();
   private Keepers keepers = new Keepers(List.of(), List.of());
   private boolean shareScheduled;
   private boolean checkScheduled;
@@ -94,34 +94,6 @@
    */
   record Query(String request, String service, long maxAgeMillis) {}
 
-  private static final class Lookup {
-    private final Query query;
-    private final Consumer<Finding> callback;
-    private final Set<String> awaited = new HashSet<>();
-    private final Set<String> versions = new HashSet<>();
-    private boolean covered;
-    private boolean current;
-    private boolean answered;
-    private boolean askedAgain;
-
-    private Lookup(Query query, Consumer<Finding> callback) {
-      this.query = query;
-      this.callback = callback;
-    }
-
-    /**
-     * Returns the version of the stream if all nodes that have answered know only this one. Nodes
-     * that have not seen the servers for a while could have missed a version that other nodes use;
-     * then all nodes that were asked must have answered.
-     */
-    private Optional<String> soleVersion() {
-      boolean certain = current || (answered && awaited.isEmpty());
-      return covered && certain && versions.size() == 1
-          ? versions.stream().findFirst()
-          : Optional.empty();
-    }
-  }
-
   /**
    * Creates the component without known origins.
    *
@@ -138,6 +110,16 @@
     this.table = new StreamOriginTable(clock);
   }
 
+  /** Keeps origins in the store as well. */
+  void setStore(StoredOrigins next) {
+    store = Optional.of(next);
+  }
+
+  /** Sets the number of nodes. */
+  void setNodeCount(int count) {
+    store.ifPresent(kept -> kept.setNodeCount(count));
+  }
+
   /** Sets the nodes that keep the origins of this node's streams. */
   void setKeepers(Keepers next) {
     keepers = next;
@@ -184,7 +166,7 @@
       callback.accept(new Finding(own, "this node"));
       return;
     }
-    Lookup lookup = new Lookup(query, callback);
+    OriginLookup lookup = new OriginLookup(query, callback);
     VersionHistory history = state.versions();
     long nowMillis = clock.millis();
     lookup.versions.addAll(
@@ -192,7 +174,7 @@
     lookup.covered = history.covers(nowMillis, query.maxAgeMillis());
     lookup.current = history.isCurrent(nowMillis);
     if (lookupById.size() >= MAX_LOOKUPS) {
-      finish(lookup);
+      lookup.finish();
       return;
     }
     long id = ++lastLookupId;
@@ -235,6 +217,8 @@
             groups
                 .computeIfAbsent(entry.origin(), StreamOrigins::groupOf)
                 .addRequests(entry.request());
+            store.ifPresent(
+                kept -> kept.keep(entry.request(), entry.origin(), entry.expiresMillis()));
           }
           return !certain || entry.expiresMillis() <= nowMillis;
         });
@@ -283,7 +267,7 @@
     }
   }
 
-  private void ask(long id, Lookup lookup) {
+  private void ask(long id, OriginLookup lookup) {
     StreamOriginAsk.Builder message =
         StreamOriginAsk.newBuilder()
             .setId(id)
@@ -320,7 +304,7 @@
   }
 
   private void onAnswer(String node, StreamOriginAnswer answer) {
-    Lookup lookup = lookupById.get(answer.getId());
+    OriginLookup lookup = lookupById.get(answer.getId());
     if (lookup == null) {
       return;
     }
@@ -348,25 +332,40 @@
   }
 
   private void askAgain(long id) {
-    Lookup lookup = lookupById.get(id);
+    OriginLookup lookup = lookupById.get(id);
     if (lookup != null) {
       ask(id, lookup);
     }
   }
 
+  /** Ends a lookup that other nodes could not answer; the store may know of nodes that are gone. */
   private void finish(long id) {
-    Lookup lookup = lookupById.remove(id);
-    if (lookup != null) {
-      finish(lookup);
+    OriginLookup lookup = lookupById.remove(id);
+    if (lookup == null) {
+      return;
+    }
+    String request = lookup.query.request();
+    if (store.isEmpty() || request.isEmpty() || lookup.soleVersion().isPresent()) {
+      lookup.finish();
+      return;
+    }
+    store.get().read(origins -> onStoredOrigins(lookup, origins));
+  }
+
+  private void onStoredOrigins(OriginLookup lookup, Map<String, StreamOrigin> origins) {
+    long retentionMillis = retentionMillis();
+    origins.forEach((request, origin) -> table.put(request, origin, retentionMillis));
+    Optional<StreamOrigin> origin = table.get(lookup.query.request());
+    if (origin.isPresent()) {
+      lookup.callback.accept(new Finding(origin, "the store"));
+    } else {
+      lookup.finish();
     }
   }
 
-  /** Ends a lookup whose origin no node knows: it is certain only if there was one version. */
-  private static void finish(Lookup lookup) {
-    Optional<StreamOrigin> origin =
-        lookup.soleVersion().map(version -> new StreamOrigin(lookup.query.service(), version));
-    String source = origin.isPresent() ? "the only version of the service" : "no node";
-    lookup.callback.accept(new Finding(origin, source));
+  /** Returns whether the servers of a service have had several versions of late. */
+  boolean hasSeveralVersions(String service) {
+    return state.versions().recentVersions(service, clock.millis(), retentionMillis()).size() > 1;
   }
 
   /** Returns whether the service has had one version for as long as a stream may be resumed. */
--- a/node/src/main/java/io/nutmegseam/node/gateway/TrafficContext.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/TrafficContext.java
@@ -3,7 +3,9 @@
 import io.netty.channel.EventLoop;
 import io.nutmegseam.core.event.EventSink;
 import io.nutmegseam.node.quota.SendQuotas;
+import io.nutmegseam.node.rows.RowStore;
 import java.time.InstantSource;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Dependencies shared by all requests. Confined to the traffic thread, except for the state.
@@ -45,4 +47,16 @@
     CrashGuard crashes,
     ArrivalCounts arrivals,
     EventSink events,
-    GatewayMetrics metrics) {}
+    GatewayMetrics metrics) {
+  /** Keeps the origins of the streams that begin at a node in the store as well. */
+  void keepOriginsInStore(String node, RowStore rows) {
+    origins.setStore(
+        new StoredOrigins(
+            node,
+            rows,
+            clock,
+            (delayMillis, task) -> loop.schedule(task, delayMillis, TimeUnit.MILLISECONDS),
+            origins::hasSeveralVersions,
+            events));
+  }
+}
--- a/node/src/test/java/io/nutmegseam/node/gateway/OriginNetwork.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/OriginNetwork.java
@@ -31,6 +31,7 @@
   private final Map<String, Node> nodeByName = new TreeMap<>();
   private final Set<String> killed = new HashSet<>();
   private final Set<String> silenced = new HashSet<>();
+  private final TestRowStore store = new TestRowStore();
   private long order;
 
   private record Task(long atMillis, long order, Runnable action) {}
@@ -58,6 +59,16 @@
               this,
               (delayMillis, task) ->
                   schedule(delayMillis, () -> runUnlessKilled(record.node(), current, task)));
+      StreamOrigins started = origins;
+      origins.setStore(
+          new StoredOrigins(
+              record.node(),
+              store,
+              clock,
+              (delayMillis, task) ->
+                  schedule(delayMillis, () -> runUnlessKilled(record.node(), current, task)),
+              started::hasSeveralVersions,
+              (kind, subject, detail) -> {}));
     }
 
     @Override
--- a/node/src/test/java/io/nutmegseam/node/gateway/StreamOriginsTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/StreamOriginsTest.java
@@ -194,6 +194,72 @@
     }
   }
 
+  /** Nobody who has seen the streams is left; callers return with the ids of their requests. */
+  @Nested
+  class AllNodesKilled {
+    private static final long STORED_MILLIS = 1_100;
+
+    @Test
+    void should_know_the_origins_of_streams_from_the_time_of_two_versions() {
+      // GIVEN
+      network.observe(network.liveNodes(""), OBSERVED_MILLIS, "v1");
+      network.begin("dc-a-0", "earlier", OLDER);
+      network.advance(SHARED_MILLIS);
+      network.observe(network.liveNodes(""), 1_000, "v1", "v1.1");
+      network.begin("dc-b-1", "later", NEWER);
+      network.advance(STORED_MILLIS);
+      // WHEN
+      restartAll();
+      network.observe(network.liveNodes(""), 2_000, "v1", "v1.1");
+      // THEN
+      for (String node : network.liveNodes("")) {
+        assertThat(found(node, "earlier")).as(node).isEqualTo(OLDER);
+        assertThat(found(node, "later")).as(node).isEqualTo(NEWER);
+        assertThat(found(node, "unknown")).as(node).isNull();
+      }
+    }
+
+    /** The servers of the older version have left, so that the nodes see the newer one only. */
+    @Test
+    void should_not_take_the_newer_version_for_that_of_an_older_stream() {
+      // GIVEN
+      network.observe(network.liveNodes(""), OBSERVED_MILLIS, "v1", "v1.1");
+      network.begin("dc-a-0", "older", OLDER);
+      network.advance(STORED_MILLIS);
+      network.observe(network.liveNodes(""), 1_000, "v1.1");
+      // WHEN
+      restartAll();
+      network.observe(network.liveNodes(""), 2_000, "v1.1");
+      // THEN
+      assertThat(found("dc-a-1", "older")).isEqualTo(OLDER);
+      assertThat(found("dc-a-1", "unknown")).isNull();
+    }
+
+    @Test
+    void should_know_origins_of_both_lives_of_a_node_after_it_is_killed_twice() {
+      // GIVEN
+      network.observe(network.liveNodes(""), OBSERVED_MILLIS, "v1", "v1.1");
+      network.begin("dc-a-0", "first life", OLDER);
+      network.advance(STORED_MILLIS);
+      restartAll();
+      network.observe(network.liveNodes(""), 1_000, "v1", "v1.1");
+      network.begin("dc-a-0", "second life", NEWER);
+      network.advance(STORED_MILLIS);
+      // WHEN
+      restartAll();
+      network.observe(network.liveNodes(""), 1_000, "v1", "v1.1");
+      // THEN
+      assertThat(found("dc-c-2", "first life")).isEqualTo(OLDER);
+      assertThat(found("dc-c-2", "second life")).isEqualTo(NEWER);
+    }
+
+    private void restartAll() {
+      List<String> nodes = network.liveNodes("");
+      nodes.forEach(network::kill);
+      nodes.forEach(network::restart);
+    }
+  }
+
   /** Six in ten nodes are killed at once while two versions serve; callers return elsewhere. */
   @Nested
   class MostNodesKilled {
