--- a/core/src/main/java/io/nutmegseam/core/quota/RoomQuota.java
+++ b/core/src/main/java/io/nutmegseam/core/quota/RoomQuota.java
@@ -23,6 +23,9 @@
   /** Share of the rejections that the server survives after which it gets no requests. */
   private static final double REJECTIONS_SHARE = 0.5;
 
+  /** No server is expected to survive as many rejections within a second. */
+  private static final int MAX_COUNTED_REJECTIONS = 1_000;
+
   private static final long SECOND_MILLIS = 1_000;
 
   /** Time within which all nodes with requests at the server report them. */
@@ -66,7 +69,7 @@
 
   /** Sets the number of requests that a node has in flight, or is about to send. */
   void setInFlight(String node, int inFlight, long nowMillis) {
-    if (inFlight == 0) {
+    if (inFlight <= 0) {
       usageByNode.remove(node);
     } else {
       usageByNode.put(node, new Usage(inFlight, nowMillis));
@@ -77,7 +80,7 @@
   void onRejected(int requests, long nowMillis) {
     if (requests > 0) {
       roomAtRejection = Math.max(1, Math.min(room(nowMillis), inFlight(nowMillis)) - 1);
-      for (int i = 0; i < requests; i++) {
+      for (int i = 0; i < Math.min(requests, MAX_COUNTED_REJECTIONS); i++) {
         rejectedMillis.addLast(nowMillis);
       }
     }
