--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
@@ -269,8 +269,7 @@
         () -> store.serversAgeMillis() / 1e3);
     metrics.registerGauge(
         "store_era", "Era of the store; rises when it returns from an older copy", store::storeEra);
-    metrics.registerGauge(
-        "limited_servers", "Servers that name limits", quotas::limitedCount);
+    metrics.registerGauge("limited_servers", "Servers that name limits", quotas::limitedCount);
     metrics.registerGauge(
         "servers_reached",
         "Whether this node reaches servers: 2 for most, 1 for less than half, 0 for none",
