Let streams in the cut-off test lose several servers

Traced in its lines: i0's link was reset at 39.332, the request was sent to i1 in the same millisecond, whose link was reset at 39.334. The links of a node are cut one after the other, so the request had run at two servers, as many as its route allows; the refusal says so. The route of this scenario now allows a server more than there are; the check that all streams are whole and in order stays.

--- a/node/src/test/java/io/nutmegseam/node/gateway/CutOffNodeTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/CutOffNodeTest.java
@@ -5,6 +5,7 @@
 
 import io.nutmegseam.core.fleet.ServerEntry;
 import io.nutmegseam.core.gateway.RequestKind;
+import io.nutmegseam.core.gateway.Route;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -88,7 +89,9 @@
     @Test
     void should_forward_whole_streams_of_a_node_that_is_cut_off_and_those_that_the_cut_breaks()
         throws Exception {
-      try (Scenario scenario = new Scenario(RequestKind.STREAMING)) {
+      // The links are cut one after the other, so that a stream may lose several servers.
+      Route route = TestGateway.route(RequestKind.STREAMING, true, SERVERS + 1);
+      try (Scenario scenario = new Scenario(route)) {
         // GIVEN streams of 0.5 s
         scenario.servers.forEach(server -> server.stream(5, 100));
         // WHEN the cut comes while streams are on their way
@@ -203,6 +206,10 @@
     private long cutMillis;
 
     private Scenario(RequestKind kind) throws Exception {
+      this(TestGateway.route(kind, true));
+    }
+
+    private Scenario(Route route) throws Exception {
       for (int i = 0; i < SERVERS; i++) {
         servers.add(new RecordingServer("i" + i));
       }
@@ -216,7 +223,7 @@
       }
       cluster =
           new TestCluster(
-              TestGateway.route(kind, true),
+              route,
               entries,
               (node, entry) ->
                   linkByServerByNode.get(node).get(entry.incarnation().id()).at(entry));
--- a/node/src/test/java/io/nutmegseam/node/gateway/TestGateway.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/TestGateway.java
@@ -160,8 +160,13 @@
 
   /** Returns the route of the host h and the path /p/, with a timeout of one second. */
   static Route route(RequestKind kind, boolean resumable) {
+    return route(kind, resumable, 2);
+  }
+
+  /** Returns such a route with a maximum number of servers for a request. */
+  static Route route(RequestKind kind, boolean resumable, int maxAttempts) {
     List<ServiceShare> shares = List.of(new ServiceShare("s", 1));
-    return new Route("r", "h", "/p/", kind, resumable, 1_000, 300, 1_000, 0, 2, shares);
+    return new Route("r", "h", "/p/", kind, resumable, 1_000, 300, 1_000, 0, maxAttempts, shares);
   }
 
   /** Returns the processor time of the traffic thread, in milliseconds. */
