--- a/review/standin/Caller.java
+++ b/review/standin/Caller.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
@@ -20,7 +21,16 @@
   final InputStream in;
 
   Caller(int port) throws IOException {
-    socket = new Socket(InetAddress.getLoopbackAddress(), port);
+    this(port, 0);
+  }
+
+  /** Connects with a receive buffer of a given size; 0 for the usual size. */
+  Caller(int port, int receiveBytes) throws IOException {
+    socket = new Socket();
+    if (receiveBytes > 0) {
+      socket.setReceiveBufferSize(receiveBytes);
+    }
+    socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
     socket.setTcpNoDelay(true);
     in = new BufferedInputStream(socket.getInputStream(), 1 << 16);
   }
