--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if ORDER is broken, 0 if it held, 2 if the case could not run.
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
-exec java -cp target/review:target/nutmegseam.jar SplitStreamCase "$folder/record.txt"
+exec java -cp target/review:target/nutmegseam.jar StaleVersionCase "$folder/record.txt"
--- a/review/standin/Scenario.java
+++ b/review/standin/Scenario.java
@@ -52,13 +52,17 @@
 
   /** Starts a gateway with the command of the deploy file, from the root of the repository. */
   Gateway startGateway(String node) throws IOException {
+    return startGateway(node, "dc-a", store.port());
+  }
+
+  Gateway startGateway(String node, String dataCentre, int storePort) throws IOException {
     int[] ports = freePorts(5);
     Path settings = folder.resolve(node + ".jsonc");
     Files.writeString(
         settings,
         """
         {
-          "node": "%s", "dataCentre": "dc-a",
+          "node": "%s", "dataCentre": "%s",
           "callerAddress": "127.0.0.1:%d", "readyAddress": "127.0.0.1:%d",
           "peerAddress": "127.0.0.1:%d", "metricsAddress": "127.0.0.1:%d",
           "peerRequestAddress": "127.0.0.1:%d", "storeAddress": "127.0.0.1:%d",
@@ -68,7 +72,7 @@
         }
         """
             .formatted(
-                node, ports[0], ports[1], ports[2], ports[3], ports[4], store.port()));
+                node, dataCentre, ports[0], ports[1], ports[2], ports[3], ports[4], storePort));
     ProcessBuilder builder = new ProcessBuilder(gatewayCommand());
     builder.environment().put("NUTMEGSEAM_CONFIG", settings.toString());
     builder.redirectErrorStream(true);
--- a/review/standin/StoreStandin.java
+++ b/review/standin/StoreStandin.java
@@ -8,6 +8,7 @@
 import java.util.Base64;
 import java.util.List;
 import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
 
 /** The platform's store: rows of tables, with transactions and a feed of changes. */
 final class StoreStandin {
@@ -28,6 +29,23 @@
     return http.port();
   }
 
+  /**
+   * Opens a further address of the store. While {@code refuses} is true, it answers 503 to all
+   * calls, as the store does that turns some machines away and serves the others.
+   */
+  int openAddress(BooleanSupplier refuses) throws IOException {
+    return new HttpStandin(
+            0,
+            (request, connection) -> {
+              if (refuses.getAsBoolean()) {
+                connection.respond(503, "", new byte[0]);
+              } else {
+                handle(request, connection);
+              }
+            })
+        .port();
+  }
+
   /** Writes a row as the operator or a server does; returns its version. */
   synchronized long put(String table, String key, String text) {
     String value = Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8));
