--- a/review/standin/StaleVersionCase.java
+++ b/review/standin/StaleVersionCase.java
@@ -15,7 +15,7 @@
  * hold events from both versions.
  */
 final class StaleVersionCase {
-  private static final int CALLERS = 48;
+  private static final int CALLERS = 72;
   private static final int MOST_JOINED = 2;
   private static final int EVENTS = 30;
   private static final long EVENT_MILLIS = 100;
@@ -72,6 +72,10 @@
     int firstStorePort = scenario.store.openAddress(refused::get);
     List<ServerStandin> old =
         List.of(start("i-a1", "v1"), start("i-a2", "v1"), start("i-a3", "v1"));
+    // Servers of both versions serve side by side; the release replaces half of them.
+    for (int i = 1; i <= 3; i++) {
+      start("i-b" + i, "v2");
+    }
     List<Scenario.Gateway> gateways = new ArrayList<>();
     gateways.add(scenario.startGateway("n1", "dc-a", firstStorePort));
     for (String zone : List.of("b", "c", "d")) {
@@ -81,10 +85,10 @@
       scenario.awaitReady(gateway);
     }
     Scenario.sleep(STABLE_MILLIS);
-    scenario.log("release: servers of version v2 come, those of v1 leave one after the other");
-    start("i-b1", "v2");
-    start("i-b2", "v2");
-    start("i-b3", "v2");
+    scenario.log("release: three servers of version v2 come, those of v1 leave one after the other");
+    for (int i = 1; i <= 3; i++) {
+      start("i-c" + i, "v2");
+    }
     Scenario.sleep(RELEASE_MILLIS);
     old.get(0).leave();
     Scenario.sleep(1_000);
