--- a/review/standin/Scenario.java
+++ b/review/standin/Scenario.java
@@ -1,17 +1,22 @@
 import java.io.IOException;
 import java.io.PrintWriter;
+import java.net.BindException;
+import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /** Starts the project's gateway processes and keeps the record of a scenario. */
 final class Scenario implements AutoCloseable {
+  private static final int MIN_PORT = 12_000;
+  private static final int MAX_PORT = 30_000;
   static final int BROKEN = 1;
   static final int HELD = 0;
   static final int NOT_RUN = 2;
@@ -96,12 +101,21 @@
     return List.of(run.group(1).split(" +"));
   }
 
+  /**
+   * Returns free ports below those that the system gives to outgoing connections, so that no
+   * connection takes one before the gateway listens there.
+   */
   private static int[] freePorts(int count) throws IOException {
     List<ServerSocket> sockets = new ArrayList<>();
     int[] ports = new int[count];
-    for (int i = 0; i < count; i++) {
-      sockets.add(new ServerSocket(0));
-      ports[i] = sockets.get(i).getLocalPort();
+    for (int i = 0; i < count; ) {
+      int port = ThreadLocalRandom.current().nextInt(MIN_PORT, MAX_PORT);
+      try {
+        sockets.add(new ServerSocket(port, 1, InetAddress.getLoopbackAddress()));
+        ports[i++] = port;
+      } catch (BindException e) {
+        // The port is taken; the next one is tried.
+      }
     }
     for (ServerSocket socket : sockets) {
       socket.close();
