--- a/node/src/main/java/io/nutmegseam/node/gateway/CallerConnection.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/CallerConnection.java
@@ -210,10 +210,6 @@
     if (request == null) {
       return;
     }
-    if (context.state().isClosed()) {
-      abort();
-      return;
-    }
     keepAlive =
         !HttpHeaderValues.CLOSE.contentEqualsIgnoreCase(
             request.headers().get(HttpHeaderNames.CONNECTION, ""));
--- a/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
@@ -64,12 +64,13 @@
     try {
       plan =
           RequestPlan.of(
-              request,
-              context.state(),
-              context.headers(),
-              route -> route.chooseService(ThreadLocalRandom.current().nextDouble()));
+                  request,
+                  context.state(),
+                  context.headers(),
+                  route -> route.chooseService(ThreadLocalRandom.current().nextDouble()))
+              .requireAdmission(context.state(), context.clock().millis());
     } catch (RequestException e) {
-      refuse(e);
+      refuse(history.withRunStatus(e));
       return;
     }
     context.crashes().add(this);
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
@@ -54,6 +54,9 @@
    */
   private static final long STOP_MARGIN_MILLIS = 800;
 
+  /** Time until the load balancer has noticed that a stopping node is not ready. */
+  private static final long DRAIN_LINGER_MILLIS = 2_500;
+
   /** Time for the release of the lease to reach the store. */
   private static final long LEASE_RELEASE_MILLIS = 100;
 
@@ -297,13 +300,14 @@
    * before the end of the grace period at the latest, even if requests are still in flight.
    */
   public void stop() {
-    long stopByMillis = clock.millis() + settings.graceMillis() - STOP_MARGIN_MILLIS;
+    long nowMillis = clock.millis();
+    long stopByMillis = nowMillis + settings.graceMillis() - STOP_MARGIN_MILLIS;
+    DrainWindow window = new DrainWindow(nowMillis + DRAIN_LINGER_MILLIS, stopByMillis);
     events.record(
         EventKind.NODE_STOPPING, settings.node(), server.inFlight() + " requests in flight");
-    state.setStopping();
+    state.setStopping(window);
     thread.execute(connections::sendHeartbeats);
-    new RequestDrain(clock, server, () -> loop.execute(traffic.waitQueue()::refuseAll))
-        .run(stopByMillis);
+    new RequestDrain(clock, server, () -> loop.execute(traffic.waitQueue()::refuseAll)).run(window);
     thread.execute(lease::release);
     state.setClosed();
     do {
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayErrors.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayErrors.java
@@ -15,12 +15,12 @@
         ErrorKind.NOT_READY, "the node has no configuration yet", retryAfterMillis);
   }
 
-  /** Returns the error for a request whose model is not loaded before the node shuts down. */
+  /** Returns the error for a request that could not be served before the node shuts down. */
   static RequestException stopping(String description) {
     return new RequestException(
         ErrorKind.NOT_READY,
         "the node is shutting down; request not served: " + description,
-        RetryAfter.SOON_MILLIS);
+        RetryAfter.OTHER_NODE_MILLIS);
   }
 
   /** Returns the error for a request whose host and path match no route. */
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayState.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayState.java
@@ -20,7 +20,7 @@
   private volatile boolean servesRequests = true;
   private volatile boolean maySendOrders = true;
   private volatile boolean fleetPublished;
-  private volatile boolean stopping;
+  private volatile Optional<DrainWindow> drain = Optional.empty();
   private volatile boolean closed;
 
   /** Publishes the active configuration. */
@@ -73,7 +73,7 @@
 
   /** Returns whether the node takes requests that other nodes cannot send to a server. */
   boolean takesPeerRequests() {
-    return config != null && fleetPublished && reachesServers && !stopping;
+    return config != null && fleetPublished && reachesServers && !isStopping();
   }
 
   /** Makes the node accept no further requests, since its process is about to exit. */
@@ -81,14 +81,20 @@
     closed = true;
   }
 
-  /** Returns whether the node accepts no further requests. */
-  public boolean isClosed() {
-    return closed;
+  /**
+   * Returns whether a request is admitted: a node that is shutting down takes none that it could
+   * have to cut.
+   *
+   * @param nowMillis present monotonic time
+   * @param deadlineMillis monotonic time of the request's deadline
+   */
+  boolean admits(long nowMillis, long deadlineMillis) {
+    return !closed && drain.map(window -> window.admits(nowMillis, deadlineMillis)).orElse(true);
   }
 
   /** Marks the node as shutting down; it is not ready from then on. */
-  public void setStopping() {
-    stopping = true;
+  void setStopping(DrainWindow window) {
+    drain = Optional.of(window);
   }
 
   /** Returns the active configuration, or empty if none has been published. */
@@ -138,11 +144,11 @@
    * that does, and is not shutting down.
    */
   public boolean isReady() {
-    return config != null && fleetPublished && servesRequests && !stopping;
+    return config != null && fleetPublished && servesRequests && !isStopping();
   }
 
   /** Returns whether the node is shutting down. */
   public boolean isStopping() {
-    return stopping;
+    return drain.isPresent();
   }
 }
--- a/node/src/main/java/io/nutmegseam/node/gateway/RequestDrain.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/RequestDrain.java
@@ -6,9 +6,6 @@
 final class RequestDrain {
   private static final long POLL_MILLIS = 50;
 
-  /** A stopping node accepts requests until the load balancer has noticed that it is not ready. */
-  private static final long LINGER_MILLIS = 2_500;
-
   /** Requests that still wait for a model are refused this long before the drain ends. */
   private static final long REFUSAL_MILLIS = 700;
 
@@ -29,16 +26,19 @@
     this.refuseWaiting = refuseWaiting;
   }
 
-  /** Waits until no request is in flight, or until a monotonic time. */
-  void run(long untilMillis) {
-    long startedMillis = clock.millis();
+  /**
+   * Waits until no request is in flight, or until the window ends.
+   *
+   * @param window the time of the drain; connections are accepted while it admits all requests
+   */
+  void run(DrainWindow window) {
     boolean lingering = true;
-    while (clock.millis() < untilMillis && (lingering || server.inFlight() > 0)) {
-      lingering = clock.millis() - startedMillis < LINGER_MILLIS;
+    while (clock.millis() < window.endMillis() && (lingering || server.inFlight() > 0)) {
+      lingering = clock.millis() < window.admitAllUntilMillis();
       if (!lingering) {
         server.stopListening();
       }
-      if (clock.millis() > untilMillis - REFUSAL_MILLIS) {
+      if (clock.millis() > window.endMillis() - REFUSAL_MILLIS) {
         refuseWaiting.run();
       }
       server.closeIdle();
--- a/node/src/main/java/io/nutmegseam/node/gateway/RequestPlan.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/RequestPlan.java
@@ -80,6 +80,18 @@
         deadlineMillis);
   }
 
+  /**
+   * Returns this plan.
+   *
+   * @throws RequestException if the node is shutting down and might have to cut the request
+   */
+  RequestPlan requireAdmission(GatewayState state, long nowMillis) throws RequestException {
+    if (!state.admits(nowMillis, deadlineMillis)) {
+      throw GatewayErrors.stopping(description());
+    }
+    return this;
+  }
+
   /** Returns the key under which the request waits while no server has loaded its model. */
   ModelWaitQueue.Key modelKey() {
     return new ModelWaitQueue.Key(service, ref.orElseThrow());
--- a/node/src/main/java/io/nutmegseam/node/gateway/RetryAfter.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/RetryAfter.java
@@ -8,6 +8,9 @@
 final class RetryAfter {
   static final long SOON_MILLIS = 500;
 
+  /** Callers of a stopping node can return at once, since the load balancer uses other nodes. */
+  static final long OTHER_NODE_MILLIS = 50;
+
   /** Overloaded servers have completed most of their current requests after this time. */
   static final long OVERLOAD_MILLIS = 1_000;
 
--- a/node/src/test/java/io/nutmegseam/node/gateway/GatewayWireTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/GatewayWireTest.java
@@ -175,12 +175,12 @@
       try (StubServer server = new StubServer("a", COMPLETE, ConnectionAction.KEEP)) {
         // GIVEN
         configure(RequestKind.NON_IDEMPOTENT, server);
-        gateway.state().setStopping();
+        gateway.state().setStopping(new DrainWindow(0, Long.MAX_VALUE));
         gateway.state().setClosed();
         // WHEN
         String received = call("POST", "1");
         // THEN
-        assertThat(received).isEmpty();
+        assertThat(received).startsWith("HTTP/1.1 503").containsIgnoringCase("connection: close");
         assertThat(server.requestHeads()).isEmpty();
       }
     }
--- a/node/src/test/java/io/nutmegseam/node/gateway/TestCluster.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/TestCluster.java
@@ -30,6 +30,7 @@
 /** Gateway nodes on loopback with one store and the route of {@link TestGateway}. */
 final class TestCluster implements AutoCloseable {
   private static final String LOOPBACK = "127.0.0.1";
+  private static final long GRACE_MILLIS = 1_000;
   private static final String CONFIG_TABLE = "config";
   private static final String CONFIG_KEY = "current";
   private static final String SERVER_TABLE = "servers";
@@ -87,6 +88,11 @@
 
   /** Starts a node, and waits until it is ready. */
   TestCluster start(String node, String dataCentre) throws IOException {
+    return start(node, dataCentre, GRACE_MILLIS);
+  }
+
+  /** Starts a node with a grace period for its stop, and waits until it is ready. */
+  TestCluster start(String node, String dataCentre, long graceMillis) throws IOException {
     HostPort readyAddress = ports.next();
     HostPort callerAddress = ports.next();
     GatewaySettings settings =
@@ -99,7 +105,7 @@
             Optional.of(ports.next()),
             ports.next(),
             new HostPort(LOOPBACK, 1),
-            1_000,
+            graceMillis,
             0,
             0.2,
             50,
