--- a/core/src/main/java/io/nutmegseam/core/fleet/VersionHistory.java
+++ b/core/src/main/java/io/nutmegseam/core/fleet/VersionHistory.java
@@ -16,6 +16,12 @@
   /** Age up to which the list of servers counts as current; the usual time until it is read. */
   public static final long MAX_AGE_MILLIS = 2_500;
 
+  /**
+   * Longest time for which a node that does not reach the platform can begin streams at a server
+   * after the platform has stopped listing it: the server serves on until it exits.
+   */
+  private static final long UNLISTED_USE_MILLIS = 60_000;
+
   /** Time for which a version is remembered after its last server has left. */
   private static final long RETENTION_MILLIS = 600_000;
 
@@ -76,6 +82,18 @@
         .collect(Collectors.toUnmodifiableSet());
   }
 
+  /**
+   * Returns the versions at which some node may have begun a stream within a time up to now. Other
+   * nodes may use servers for longer than this one sees them.
+   *
+   * @param service name of the service
+   * @param nowMillis present monotonic time
+   * @param withinMillis length of that time, in milliseconds
+   */
+  public Set<String> usedVersions(String service, long nowMillis, long withinMillis) {
+    return recentVersions(service, nowMillis, withinMillis + UNLISTED_USE_MILLIS);
+  }
+
   /**
    * Returns whether the servers have been observed since a time, and no version that they had since
    * then is forgotten.
@@ -85,7 +103,7 @@
    */
   public boolean covers(long nowMillis, long withinMillis) {
     return !isEmpty()
-        && withinMillis <= RETENTION_MILLIS
+        && withinMillis + UNLISTED_USE_MILLIS <= RETENTION_MILLIS
         && nowMillis - sinceMillis >= withinMillis;
   }
 
--- a/core/src/test/java/io/nutmegseam/core/fleet/VersionHistoryTest.java
+++ b/core/src/test/java/io/nutmegseam/core/fleet/VersionHistoryTest.java
@@ -52,6 +52,18 @@
 
   @Nested
   class SeveralVersions {
+    /** A node that does not reach the platform uses servers that are not listed any more. */
+    @Test
+    void should_count_a_version_as_used_for_a_while_after_its_last_server_was_listed() {
+      long minuteMillis = 60_000;
+      observe(WINDOW_MILLIS, "v1", "v1.1");
+      observe(minuteMillis, "v1.1");
+      assertThat(history.recentVersions("llm", nowMillis, WINDOW_MILLIS)).containsOnly("v1.1");
+      assertThat(history.usedVersions("llm", nowMillis, WINDOW_MILLIS)).contains("v1");
+      observe(2 * WINDOW_MILLIS, "v1.1");
+      assertThat(history.usedVersions("llm", nowMillis, WINDOW_MILLIS)).containsOnly("v1.1");
+    }
+
     @Test
     void should_not_be_certain_while_two_versions_serve() {
       observe(2 * WINDOW_MILLIS, "v1", "v1.1");
--- a/node/src/main/java/io/nutmegseam/node/gateway/StreamOrigins.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/StreamOrigins.java
@@ -169,8 +169,7 @@
     OriginLookup lookup = new OriginLookup(query, callback);
     VersionHistory history = state.versions();
     long nowMillis = clock.millis();
-    lookup.versions.addAll(
-        history.recentVersions(query.service(), nowMillis, query.maxAgeMillis()));
+    lookup.versions.addAll(history.usedVersions(query.service(), nowMillis, query.maxAgeMillis()));
     lookup.covered = history.covers(nowMillis, query.maxAgeMillis());
     lookup.current = history.isCurrent(nowMillis);
     if (lookupById.size() >= MAX_LOOKUPS) {
@@ -180,7 +179,10 @@
     long id = ++lastLookupId;
     lookupById.put(id, lookup);
     timer.schedule(ASK_TIMEOUT_MILLIS, () -> finish(id));
-    ask(id, lookup);
+    ask(id, lookup, keepers.local());
+    if (lookup.awaited.isEmpty()) {
+      askAgain(id);
+    }
   }
 
   /** Handles a message of another node about origins. */
@@ -267,7 +269,7 @@
     }
   }
 
-  private void ask(long id, OriginLookup lookup) {
+  private void ask(long id, OriginLookup lookup, List<String> nodes) {
     StreamOriginAsk.Builder message =
         StreamOriginAsk.newBuilder()
             .setId(id)
@@ -275,15 +277,12 @@
             .setService(lookup.query.service())
             .setMaxAgeMillis(lookup.query.maxAgeMillis());
     Set<String> connected = peers.connectedNodes();
-    for (String node : keepers.local()) {
+    for (String node : nodes) {
       if (connected.contains(node)
           && peers.send(node, PeerFrame.newBuilder().setStreamOriginAsk(message))) {
         lookup.awaited.add(node);
       }
     }
-    if (lookup.awaited.isEmpty()) {
-      finish(id);
-    }
   }
 
   private void onAsk(String node, StreamOriginAsk message) {
@@ -296,7 +295,7 @@
       long nowMillis = clock.millis();
       long maxAgeMillis = message.getMaxAgeMillis();
       answer
-          .addAllVersions(history.recentVersions(message.getService(), nowMillis, maxAgeMillis))
+          .addAllVersions(history.usedVersions(message.getService(), nowMillis, maxAgeMillis))
           .setCovered(history.covers(nowMillis, maxAgeMillis))
           .setCurrent(history.isCurrent(nowMillis));
     }
@@ -326,15 +325,21 @@
     if (lookup.soleVersion().isPresent() || lookup.askedAgain) {
       finish(answer.getId());
     } else {
-      lookup.askedAgain = true;
       timer.schedule(ASK_AGAIN_MILLIS, () -> askAgain(answer.getId()));
     }
   }
 
+  /** Asks the keepers in other data centres too, which origins may have reached instead. */
   private void askAgain(long id) {
     OriginLookup lookup = lookupById.get(id);
-    if (lookup != null) {
-      ask(id, lookup);
+    if (lookup == null) {
+      return;
+    }
+    lookup.askedAgain = true;
+    ask(id, lookup, keepers.local());
+    ask(id, lookup, keepers.remote());
+    if (lookup.awaited.isEmpty()) {
+      finish(id);
     }
   }
 
@@ -375,7 +380,7 @@
     long withinMillis = retentionMillis();
     return history.covers(nowMillis, withinMillis)
         && history.isCurrent(nowMillis)
-        && history.recentVersions(service, nowMillis, withinMillis).size() == 1;
+        && history.usedVersions(service, nowMillis, withinMillis).size() == 1;
   }
 
   /** Returns the time for which a stream may be resumed after it began, in milliseconds. */
