Send no new work to servers that say that they are leaving

A leaving server says so in its responses, at times before its entry does. Nothing read the header, so that it got requests until its entry changed, or for as long as the store or the node was cut off.

Change: the header is read from responses to requests, orders and reports; the process is draining in every list of servers from then on, kept per process, and connected nodes are told by a new frame, which builds that do not know it ignore. The frames of peers are handed out by a class of their own.

Evidence: LeavingServerTest; without marking, should_send_no_request_to_a_server_after_its_response_says_so (24 requests instead of 1) and should_tell_other_nodes fail.

--- a/core/src/main/java/io/nutmegseam/core/fleet/Fleet.java
+++ b/core/src/main/java/io/nutmegseam/core/fleet/Fleet.java
@@ -34,6 +34,27 @@
     }
   }
 
+  /**
+   * Returns this fleet with some servers draining, or itself if that changes nothing.
+   *
+   * @param servers processes of servers, also such that are not in the fleet
+   */
+  public Fleet withDraining(Set<Incarnation> servers) {
+    Map<String, ServerEntry> changed = new HashMap<>();
+    for (Incarnation server : servers) {
+      ServerEntry entry = entryById.get(server.id());
+      if (entry != null && entry.incarnation().equals(server) && !entry.draining()) {
+        changed.put(server.id(), entry.asDraining());
+      }
+    }
+    if (changed.isEmpty()) {
+      return this;
+    }
+    Map<String, ServerEntry> entries = new HashMap<>(entryById);
+    entries.putAll(changed);
+    return new Fleet(entries);
+  }
+
   /** Returns the entry of a server. */
   public Optional<ServerEntry> entry(String id) {
     return Optional.ofNullable(entryById.get(id));
--- a/node/src/main/java/io/nutmegseam/node/gateway/Attempt.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/Attempt.java
@@ -183,6 +183,7 @@
   @Override
   public void onHead(HttpResponse head) {
     if (!PeerTargets.isPeer(server)) {
+      context.leaving().onResponse(server.incarnation(), head.status(), head.headers());
       reportLoad(head);
     }
     context.loads().onResponseHead(serverId(), this);
--- a/node/src/main/java/io/nutmegseam/node/gateway/BufferedHttpClient.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/BufferedHttpClient.java
@@ -8,7 +8,9 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.ScheduledFuture;
+import io.nutmegseam.core.fleet.Incarnation;
 import io.nutmegseam.node.rows.CallException;
 import io.nutmegseam.node.settings.HostPort;
 import java.io.IOException;
@@ -31,6 +33,14 @@
   private final EventLoop loop;
   private final ServerConnectionPools pools;
   private final InstantSource clock;
+  private final ServerObserver observer;
+
+  /** Receives the heads of the responses of servers, on the traffic thread. */
+  @FunctionalInterface
+  public interface ServerObserver {
+    /** Handles the status and the headers of a response. */
+    void onResponse(Incarnation server, HttpResponseStatus status, HttpHeaders headers);
+  }
 
   /**
    * A call.
@@ -70,11 +80,32 @@
    * @param loop the traffic thread
    * @param pools connection pools
    * @param clock monotonic clock
+   * @param observer receives the heads of the responses of servers
    */
-  BufferedHttpClient(EventLoop loop, ServerConnectionPools pools, InstantSource clock) {
+  BufferedHttpClient(
+      EventLoop loop, ServerConnectionPools pools, InstantSource clock, ServerObserver observer) {
     this.loop = loop;
     this.pools = pools;
     this.clock = clock;
+    this.observer = observer;
+  }
+
+  /**
+   * Makes a call to a server.
+   *
+   * @param server the server
+   * @param request the call
+   * @return as {@link #call(Request)}
+   */
+  public CompletableFuture<Response> call(Incarnation server, Request request) {
+    return call(request)
+        .whenComplete(
+            (response, e) -> {
+              if (e == null) {
+                HttpResponseStatus status = HttpResponseStatus.valueOf(response.status());
+                observer.onResponse(server, status, response.headers());
+              }
+            });
   }
 
   /**
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
@@ -5,6 +5,7 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import io.nutmegseam.core.event.EventKind;
 import io.nutmegseam.core.event.HybridClock;
+import io.nutmegseam.core.fleet.Incarnation;
 import io.nutmegseam.core.orders.OrderLease;
 import io.nutmegseam.core.orders.StoreLoadLimiter;
 import io.nutmegseam.core.platform.Row;
@@ -15,6 +16,7 @@
 import io.nutmegseam.node.peer.PeerNetwork;
 import io.nutmegseam.node.peer.PeerTlsContexts;
 import io.nutmegseam.node.peer.PeerTrafficCounter;
+import io.nutmegseam.node.peer.generated.LeavingServer;
 import io.nutmegseam.node.peer.generated.PeerFrame;
 import io.nutmegseam.node.quota.SendQuotas;
 import io.nutmegseam.node.rows.NodeDirectory;
@@ -99,6 +101,7 @@
   private final StoreWatcher store;
   private final OrderControl orders;
   private final GatewayServer server;
+  private final PeerFrameRouter frameRouter;
 
   /** The adapters to the platform: its store, its row formats, and orders to its servers. */
   public record Platform(RowStore rows, RowDecoders decoders, ServerOrders orders) {}
@@ -129,13 +132,22 @@
     this.traffic =
         new TrafficContextFactory(
                 new TrafficContextFactory.Dependencies(
-                    settings, headers, loop, clock, state, network, events, metrics))
+                    settings,
+                    headers,
+                    loop,
+                    clock,
+                    state,
+                    network,
+                    this::onServerLeaving,
+                    events,
+                    metrics))
             .create(pools, loads, waitQueue, crashes.guard());
     this.quotas = traffic.quotas();
     this.demandReporter =
         new DemandReporter(
             thread, loop, traffic.arrivals(), waitQueue, traffic.loads(), clock, this::sendReport);
-    Platform adapters = platform.apply(new BufferedHttpClient(loop, pools, clock));
+    Platform adapters =
+        platform.apply(new BufferedHttpClient(loop, pools, clock, traffic.leaving()::onResponse));
     traffic.keepOriginsInStore(settings.node(), adapters.rows());
     this.fleet =
         new FleetControl(
@@ -149,18 +161,7 @@
             keepers -> loop.execute(() -> traffic.origins().setKeepers(keepers)),
             state::takesPeerRequests);
     this.lease = createLease(adapters.rows());
-    this.store =
-        new StoreWatcher(
-            new StoreWatcher.Dependencies(
-                adapters.rows(),
-                adapters.decoders(),
-                directory,
-                network,
-                thread::scheduleOnce,
-                new TableWatcher.Context(
-                    thread::execute, clock, events, ThreadLocalRandom.current())),
-            fleet,
-            this::onOwnRows);
+    this.store = createStoreWatcher(adapters);
     this.fleetStates =
         new FleetStateExchange(
             new FleetStateExchange.Dependencies(clock, demand, connections, fleet, state, traffic));
@@ -170,6 +171,7 @@
                 adapters.orders(),
                 server -> loop.execute(() -> quotas.onSentWithoutPermit(server))));
     this.server = new GatewayServer(group, traffic);
+    this.frameRouter = createFrameRouter();
     traffic.reach().setListener(this::onReachChanged);
   }
 
@@ -182,6 +184,19 @@
     }
   }
 
+  /** Tells the other nodes on the traffic thread that a server has said that it is leaving. */
+  private void onServerLeaving(Incarnation server) {
+    thread.execute(
+        () ->
+            connections.sendToAll(
+                PeerFrame.newBuilder()
+                    .setLeavingServer(
+                        LeavingServer.newBuilder()
+                            .setServer(server.id())
+                            .setBornMillis(server.startedAtMillis()))));
+    traffic.waitQueue().retryAll();
+  }
+
   /** Publishes whether this node can serve requests, and looks for nodes that take them if not. */
   private void updateServing() {
     ServerReach.Reach reach = traffic.reach().reach();
@@ -191,13 +206,32 @@
     state.setReach(reach, traffic.peers().isAvailable());
   }
 
+  private StoreWatcher createStoreWatcher(Platform adapters) {
+    return new StoreWatcher(
+        new StoreWatcher.Dependencies(
+            adapters.rows(),
+            adapters.decoders(),
+            directory,
+            network,
+            thread::scheduleOnce,
+            new TableWatcher.Context(thread::execute, clock, events, ThreadLocalRandom.current())),
+        fleet,
+        this::onOwnRows);
+  }
+
+  private PeerFrameRouter createFrameRouter() {
+    return new PeerFrameRouter(
+        new PeerFrameRouter.Dependencies(
+            thread, traffic, clock, demand, store, crashes, fleetStates));
+  }
+
   private PeerNetwork createNetwork() {
     return new PeerNetwork(
         new PeerIdentity(settings.node(), processId, settings.dataCentre(), ""),
         new PeerNetwork.Limits(PEER_FRAME_BYTES, PEER_IDLE_TIMEOUT_SECONDS),
         hybridClock,
         events,
-        this::dispatchFrame,
+        (node, frame) -> frameRouter.route(node, frame),
         new PeerTlsContexts(new NodeSettings.PeerTls("", "", "")),
         new PeerTrafficCounter());
   }
@@ -363,35 +397,4 @@
                     PeerFrame.newBuilder()
                         .setFleetDemand(FleetCodec.encode(report, clock.millis()))));
   }
-
-  /**
-   * Handles the messages about streams and limits on the traffic thread, and all others on the
-   * control one.
-   */
-  private void dispatchFrame(String node, PeerFrame frame) {
-    if (StreamOrigins.accepts(frame)) {
-      loop.execute(() -> traffic.origins().onFrame(node, frame));
-    } else if (frame.hasHeartbeat()) {
-      boolean takesRequests = frame.getHeartbeat().getTakesRequests();
-      loop.execute(() -> traffic.peers().onNews(node, takesRequests));
-    } else if (SendQuotas.accepts(frame)) {
-      loop.execute(() -> quotas.onFrame(node, frame));
-    } else {
-      thread.execute(() -> onFrame(node, frame));
-    }
-  }
-
-  private void onFrame(String node, PeerFrame frame) {
-    if (frame.hasFleetDemand()) {
-      demand.onReport(node, FleetCodec.decode(frame.getFleetDemand(), clock.millis()));
-    } else if (frame.hasStoreNews()) {
-      store.onUpdate(node, frame.getStoreNews());
-    } else if (frame.hasRowWriteAsk() || frame.hasRowWriteAnswer()) {
-      store.onWriteMessage(node, frame);
-    } else if (frame.hasCrashNews()) {
-      crashes.onNews(node, frame.getCrashNews());
-    } else if (frame.hasFleetNews()) {
-      fleetStates.onUpdate(frame.getFleetNews());
-    }
-  }
 }
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayHeaders.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayHeaders.java
@@ -23,6 +23,7 @@
  *     nodes together; absent from the responses of a server without limit
  * @param rejectionLimit rejections for want of room within a second, as a decimal number, after
  *     which a server falls over; absent from the responses of a server that is not brittle
+ * @param leaving value 1 if the server is leaving; absent otherwise
  * @param priority priority at the server; lower is more urgent
  * @param reserved headers that only the gateway may set; removed from callers' requests
  */
@@ -40,5 +41,6 @@
     String load,
     String requestLimit,
     String rejectionLimit,
+    String leaving,
     String priority,
     Set<String> reserved) {}
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayState.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayState.java
@@ -6,12 +6,18 @@
 import io.nutmegseam.core.fleet.VersionHistory;
 import io.nutmegseam.core.gateway.GatewayConfig;
 import io.nutmegseam.core.quota.ServerLimits;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /** State that the traffic thread reads: snapshots of the control thread, and shutdown flags. */
 public final class GatewayState {
+  /** The oldest ones are forgotten beyond this number. */
+  private static final int MAX_LEAVING_SERVERS = 10_000;
+
   private volatile GatewayConfig config;
+  private final Set<Incarnation> leavingServers = new LinkedHashSet<>();
   private volatile Fleet fleet = Fleet.EMPTY;
   private volatile VersionHistory versions = VersionHistory.EMPTY;
   private volatile ExpectedLoadTimes expectedLoadTimes = ExpectedLoadTimes.NONE;
@@ -28,10 +34,31 @@
     config = next;
   }
 
-  /** Publishes the servers. */
+  /** Publishes the servers. Those that said that they are leaving are draining in it. */
   public void setFleet(Fleet next) {
-    fleet = next;
-    fleetPublished = true;
+    synchronized (leavingServers) {
+      fleet = next.withDraining(leavingServers);
+      fleetPublished = true;
+    }
+  }
+
+  /**
+   * Makes a server draining for as long as its process lasts, whatever the platform says of it.
+   *
+   * @return whether it was not known to be leaving
+   */
+  boolean addLeaving(Incarnation server) {
+    synchronized (leavingServers) {
+      boolean added = leavingServers.add(server);
+      if (added) {
+        leavingServers.stream()
+            .limit(Math.max(0, leavingServers.size() - MAX_LEAVING_SERVERS))
+            .toList()
+            .forEach(leavingServers::remove);
+        fleet = fleet.withDraining(leavingServers);
+      }
+      return added;
+    }
   }
 
   /** Publishes the software versions that the servers had. */
--- a/node/src/main/java/io/nutmegseam/node/gateway/TrafficContext.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/TrafficContext.java
@@ -20,6 +20,7 @@
  * @param peers nodes that send requests to servers for this one
  * @param loads load and failures of the servers
  * @param limits reads the limits that servers name
+ * @param leaving reads which servers are leaving
  * @param quotas keeps the limits that servers name
  * @param retries limits retries
  * @param waitQueue requests that wait until their model is loaded
@@ -40,6 +41,7 @@
     PeerTargets peers,
     ServerLoads loads,
     NamedLimits limits,
+    LeavingServers leaving,
     SendQuotas quotas,
     RetryLimiter retries,
     ModelWaitQueue waitQueue,
--- a/node/src/main/java/io/nutmegseam/node/gateway/TrafficContextFactory.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/TrafficContextFactory.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import io.nutmegseam.core.event.EventSink;
+import io.nutmegseam.core.fleet.Incarnation;
 import io.nutmegseam.node.control.TrafficTimer;
 import io.nutmegseam.node.peer.PeerNetwork;
 import io.nutmegseam.node.quota.SendQuotas;
@@ -9,6 +10,7 @@
 import java.util.Random;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /** Creates the components that requests share. */
 final class TrafficContextFactory {
@@ -26,6 +28,7 @@
       InstantSource clock,
       GatewayState state,
       PeerNetwork network,
+      Consumer<Incarnation> onServerLeaving,
       EventSink events,
       GatewayMetrics metrics) {}
 
@@ -61,6 +64,11 @@
         createPeers(loads),
         loads,
         new NamedLimits(dependencies.headers(), quotas, dependencies.events()),
+        new LeavingServers(
+            dependencies.headers().leaving(),
+            dependencies.state(),
+            dependencies.onServerLeaving(),
+            dependencies.events()),
         quotas,
         new RetryLimiter(
             settings.retryRatio(),
--- a/node/src/test/java/io/nutmegseam/node/gateway/BufferedHttpClientTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/BufferedHttpClientTest.java
@@ -63,7 +63,11 @@
       ServerSocket server, long notAfterMillis) {
     EventLoop loop = group.next();
     BufferedHttpClient client =
-        new BufferedHttpClient(loop, new ServerConnectionPools(loop, "id", clock), clock);
+        new BufferedHttpClient(
+            loop,
+            new ServerConnectionPools(loop, "id", clock),
+            clock,
+            (incarnation, status, headers) -> {});
     return client.call(
         new BufferedHttpClient.Request(
             new HostPort("127.0.0.1", server.getLocalPort()),
--- a/node/src/test/java/io/nutmegseam/node/gateway/RecordingServer.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/RecordingServer.java
@@ -39,6 +39,7 @@
   private volatile long runMillis = 10;
   private volatile int events = 1;
   private volatile Optional<ServerRoom> room = Optional.empty();
+  private volatile Optional<String> leaving = Optional.empty();
 
   /**
    * A request that has arrived.
@@ -89,6 +90,11 @@
     room = Optional.of(next);
   }
 
+  /** Makes the server say in its responses whether it is leaving. */
+  void sayLeaving(String value) {
+    leaving = Optional.of(value);
+  }
+
   /** Returns when connections were closed while the server ran a request. */
   List<Long> abandonedMillis() {
     return List.copyOf(abandonedMillis);
@@ -237,6 +243,7 @@
     String limit =
         limitPerSecond.map(perSecond -> "request-limit: " + perSecond + "\r\n").orElse("");
     return limit
+        + leaving.map(value -> "leaving: " + value + "\r\n").orElse("")
         + room.map(known -> "rejection-limit: " + known.maxRejectionsPerSecond() + "\r\n")
             .orElse("");
   }
--- a/node/src/test/java/io/nutmegseam/node/gateway/TestGateway.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/TestGateway.java
@@ -54,6 +54,7 @@
           "load",
           "request-limit",
           "rejection-limit",
+          "leaving",
           "priority",
           Set.of("expect", "reserved"));
 
@@ -96,6 +97,8 @@
                 clock),
             loads,
             new NamedLimits(HEADERS, quotas, (kind, subject, detail) -> {}),
+            new LeavingServers(
+                HEADERS.leaving(), state, server -> {}, (kind, subject, detail) -> {}),
             quotas,
             new RetryLimiter(0.2, 50, 10_000, 1, clock),
             waitQueue,
