Send nothing to a server that asks for a pause with 503 and Retry-After

A server that rejects a request with 503 may name in Retry-After for how long it wants nothing from the node. The header was dropped: the node avoided the server for 300 ms, and its callers were told to come back after a fixed second.

Change: the pause is kept per process in SendQuotas, beside the limits that servers name, and binds the choice of a server, permits, orders and reports. A model whose servers are paused does not count as missing. The listener of permits moves to SendPermit.

LimitedServerChoiceTest$Paused, BufferedHttpClientTest$PausedServer.

--- a/core/src/main/java/io/nutmegseam/core/event/EventKind.java
+++ b/core/src/main/java/io/nutmegseam/core/event/EventKind.java
@@ -60,6 +60,8 @@
   PLACEMENT_FREED(312),
   /** This node became the placement planner. */
   PLANNER_ELECTED(313),
+  /** A backend server has asked this node for no requests for a time. */
+  SERVER_PAUSED(314),
   /** The node ordered a backend server to load a model or adapter. */
   LOAD_ORDERED(320),
   /** The inventory of a backend server confirms a load. */
--- a/node/src/main/java/io/nutmegseam/node/gateway/BufferedHttpClient.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/BufferedHttpClient.java
@@ -35,9 +35,11 @@
   private final InstantSource clock;
   private final ServerObserver observer;
 
-  /** Receives the heads of the responses of servers, on the traffic thread. */
-  @FunctionalInterface
+  /** Decides on calls to servers and observes their responses, on the traffic thread. */
   public interface ServerObserver {
+    /** Returns whether a server may be called now. */
+    boolean mayCall(Incarnation server);
+
     /** Handles the status and the headers of a response. */
     void onResponse(Incarnation server, HttpResponseStatus status, HttpHeaders headers);
   }
@@ -80,7 +82,7 @@
    * @param loop the traffic thread
    * @param pools connection pools
    * @param clock monotonic clock
-   * @param observer receives the heads of the responses of servers
+   * @param observer decides on calls to servers and observes their responses
    */
   BufferedHttpClient(
       EventLoop loop, ServerConnectionPools pools, InstantSource clock, ServerObserver observer) {
@@ -95,17 +97,27 @@
    *
    * @param server the server
    * @param request the call
-   * @return as {@link #call(Request)}
+   * @return as {@link #call(Request)}; the call fails without being sent while the server has asked
+   *     for no calls
    */
   public CompletableFuture<Response> call(Incarnation server, Request request) {
-    return call(request)
-        .whenComplete(
-            (response, e) -> {
-              if (e == null) {
-                HttpResponseStatus status = HttpResponseStatus.valueOf(response.status());
-                observer.onResponse(server, status, response.headers());
-              }
-            });
+    CompletableFuture<Response> result = new CompletableFuture<>();
+    loop.execute(
+        () -> {
+          if (observer.mayCall(server)) {
+            new PendingCall(request, result).start();
+          } else {
+            String text = request.method() + " " + request.target() + ": " + server + " is paused";
+            result.completeExceptionally(new CallException(text, false));
+          }
+        });
+    return result.whenComplete(
+        (response, e) -> {
+          if (e == null) {
+            HttpResponseStatus status = HttpResponseStatus.valueOf(response.status());
+            observer.onResponse(server, status, response.headers());
+          }
+        });
   }
 
   /**
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
@@ -16,7 +16,6 @@
 import io.nutmegseam.node.peer.PeerNetwork;
 import io.nutmegseam.node.peer.PeerTlsContexts;
 import io.nutmegseam.node.peer.PeerTrafficCounter;
-import io.nutmegseam.node.peer.generated.LeavingServer;
 import io.nutmegseam.node.peer.generated.PeerFrame;
 import io.nutmegseam.node.quota.SendQuotas;
 import io.nutmegseam.node.rows.NodeDirectory;
@@ -146,8 +145,7 @@
     this.demandReporter =
         new DemandReporter(
             thread, loop, traffic.arrivals(), waitQueue, traffic.loads(), clock, this::sendReport);
-    Platform adapters =
-        platform.apply(new BufferedHttpClient(loop, pools, clock, traffic.leaving()::onResponse));
+    Platform adapters = platform.apply(createHttpClient(pools));
     traffic.keepOriginsInStore(settings.node(), adapters.rows());
     this.fleet =
         new FleetControl(
@@ -186,14 +184,7 @@
 
   /** Tells the other nodes on the traffic thread that a server has said that it is leaving. */
   private void onServerLeaving(Incarnation server) {
-    thread.execute(
-        () ->
-            connections.sendToAll(
-                PeerFrame.newBuilder()
-                    .setLeavingServer(
-                        LeavingServer.newBuilder()
-                            .setServer(server.id())
-                            .setBornMillis(server.startedAtMillis()))));
+    thread.execute(() -> connections.sendToAll(LeavingServers.frame(server)));
     traffic.waitQueue().retryAll();
   }
 
@@ -206,6 +197,11 @@
     state.setReach(reach, traffic.peers().isAvailable());
   }
 
+  private BufferedHttpClient createHttpClient(ServerConnectionPools pools) {
+    ServerNotices notices = new ServerNotices(traffic.leaving(), traffic.limits(), quotas);
+    return new BufferedHttpClient(loop, pools, clock, notices);
+  }
+
   private StoreWatcher createStoreWatcher(Platform adapters) {
     return new StoreWatcher(
         new StoreWatcher.Dependencies(
--- a/node/src/main/java/io/nutmegseam/node/gateway/LeavingServers.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/LeavingServers.java
@@ -5,6 +5,8 @@
 import io.nutmegseam.core.event.EventKind;
 import io.nutmegseam.core.event.EventSink;
 import io.nutmegseam.core.fleet.Incarnation;
+import io.nutmegseam.node.peer.generated.LeavingServer;
+import io.nutmegseam.node.peer.generated.PeerFrame;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -60,6 +62,13 @@
     }
   }
 
+  /** Returns the frame that tells another node of a leaving server. */
+  static PeerFrame.Builder frame(Incarnation server) {
+    LeavingServer.Builder news =
+        LeavingServer.newBuilder().setServer(server.id()).setBornMillis(server.startedAtMillis());
+    return PeerFrame.newBuilder().setLeavingServer(news);
+  }
+
   /** Applies what a server has said to another node. */
   void onNews(String node, Incarnation server) {
     if (state.addLeaving(server)) {
--- a/node/src/main/java/io/nutmegseam/node/gateway/PermitWait.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/PermitWait.java
@@ -48,7 +48,7 @@
         quotas.acquire(
             server,
             selection.termsFor(server),
-            new SendQuotas.Listener() {
+            new SendPermit.Listener() {
               @Override
               public void onGranted() {
                 waiting = false;
--- a/node/src/main/java/io/nutmegseam/node/gateway/ServerChooser.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/ServerChooser.java
@@ -162,6 +162,18 @@
         .orElse(0);
   }
 
+  /**
+   * Returns the time until the first server of a service that has loaded the model may be sent a
+   * request, in milliseconds, also if the request has been tried there; 0 if nothing says that none
+   * may be sent now.
+   */
+  long earliestMillis(Fleet fleet, Criteria criteria) {
+    return eligibleServers(fleet, criteria.service(), criteria.ref()).stream()
+        .mapToLong(e -> quotas.exhaustedMillis(e.incarnation(), false))
+        .min()
+        .orElse(0);
+  }
+
   /**
    * Returns whether no server has loaded the model of a request, or all servers that have it are at
    * their limits while the service has a server without limit.
@@ -171,7 +183,7 @@
         fleet.entriesOfService(criteria.service()).stream()
             .anyMatch(entry -> !entry.draining() && !isRateLimited(entry));
     return eligibleServers(fleet, criteria.service(), criteria.ref()).isEmpty()
-        || (loadable && exhaustedMillis(fleet, criteria) > 0);
+        || (loadable && exhaustedMillis(fleet, criteria) > 0 && !isPaused(fleet, criteria));
   }
 
   private List<ServerEntry> candidates(Fleet fleet, Criteria criteria) {
@@ -180,6 +192,12 @@
     return candidates;
   }
 
+  /** Returns whether a server for a request has asked for a pause, after which it can serve it. */
+  private boolean isPaused(Fleet fleet, Criteria criteria) {
+    return candidates(fleet, criteria).stream()
+        .anyMatch(e -> quotas.pauseMillis(e.incarnation()) > 0);
+  }
+
   private boolean isUsable(ServerEntry entry) {
     return !loads.isAvoided(id(entry));
   }
--- a/node/src/main/java/io/nutmegseam/node/gateway/ServerSelection.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/ServerSelection.java
@@ -135,7 +135,7 @@
 
   /** Returns the error for a request that none of the servers can accept. */
   RequestException noServerError() {
-    long exhaustedMillis = context.chooser().exhaustedMillis(context.state().fleet(), criteria());
+    long exhaustedMillis = context.chooser().earliestMillis(context.state().fleet(), criteria());
     return exhaustedMillis > 0
         ? GatewayErrors.atLimit(plan.description(), RetryAfter.afterMillis(exhaustedMillis))
         : GatewayErrors.noServer(plan.description(), RetryAfter.OVERLOAD_MILLIS);
--- a/node/src/main/java/io/nutmegseam/node/quota/ExhaustedQuotas.java
+++ b/node/src/main/java/io/nutmegseam/node/quota/ExhaustedQuotas.java
@@ -35,6 +35,13 @@
     untilMillisByKey.put(new Key(process, hasAlternative), nowMillis + millis);
   }
 
+  /**
+   * Records that a server has asked for no sends for a time, unless an earlier one lasts longer.
+   */
+  void onPause(String process, long millis) {
+    onDenied(process, false, Math.max(millis, millis(process, false)));
+  }
+
   /** Returns for how long a send would still be denied, in milliseconds. */
   long millis(String process, boolean hasAlternative) {
     long nowMillis = clock.millis();
--- a/node/src/main/java/io/nutmegseam/node/quota/SendPermit.java
+++ b/node/src/main/java/io/nutmegseam/node/quota/SendPermit.java
@@ -10,4 +10,16 @@
    * permit that was granted counts as unused.
    */
   void cancel();
+
+  /** Receives the outcome of a request for a permit, once at most. */
+  interface Listener {
+    /** Handles a permit; the request is to be sent now. */
+    void onGranted();
+
+    /**
+     * Handles a denial; {@link SendQuotas#exhaustedMillis} tells when the server may be asked for
+     * again.
+     */
+    void onDenied();
+  }
 }
--- a/node/src/main/java/io/nutmegseam/node/quota/SendQuotas.java
+++ b/node/src/main/java/io/nutmegseam/node/quota/SendQuotas.java
@@ -48,6 +48,7 @@
   private final LimiterSelector selector;
   private final Map<Long, PendingPermit> pendingById = new HashMap<>();
   private final ExhaustedQuotas exhausted;
+  private final ExhaustedQuotas pauses;
   private final InFlightRequests inFlight;
   private long lastId;
 
@@ -83,15 +84,6 @@
    */
   public record Terms(long maxWaitMillis, boolean hasAlternative) {}
 
-  /** Receives the outcome of a request for a permit, once at most. */
-  public interface Listener {
-    /** Handles a permit; the request is to be sent now. */
-    void onGranted();
-
-    /** Handles a denial; {@link #exhaustedMillis} tells when the server may be asked for again. */
-    void onDenied();
-  }
-
   /**
    * Creates a component that knows no limits.
    *
@@ -102,6 +94,7 @@
     this.clock = dependencies.clock();
     this.peers = dependencies.peers();
     this.exhausted = new ExhaustedQuotas(clock);
+    this.pauses = new ExhaustedQuotas(clock);
     this.sharing =
         new LimitSharing(
             peers,
@@ -145,7 +138,19 @@
    * @param hasAlternative whether a server without limit can serve the request as well
    */
   public long exhaustedMillis(Incarnation server, boolean hasAlternative) {
-    return limits(server).isNone() ? 0 : exhausted.millis(server.toString(), hasAlternative);
+    long limitMillis =
+        limits(server).isNone() ? 0 : exhausted.millis(server.toString(), hasAlternative);
+    return Math.max(limitMillis, pauseMillis(server));
+  }
+
+  /** Returns for how long a server still asks this node for no requests, in milliseconds. */
+  public long pauseMillis(Incarnation server) {
+    return pauses.millis(server.toString(), false);
+  }
+
+  /** Applies that a server asks this node for no requests for a time, in milliseconds. */
+  public void onPause(Incarnation server, long millis) {
+    pauses.onPause(server.toString(), millis);
   }
 
   /**
@@ -163,8 +168,9 @@
    * Asks for the permit to send a request to a server. The outcome follows at once for a server
    * without limits, and after the answer of another node otherwise.
    */
-  public SendPermit acquire(ServerEntry server, Terms terms, Listener listener) {
-    if (limits(server.incarnation()).isNone()) {
+  public SendPermit acquire(ServerEntry server, Terms terms, SendPermit.Listener listener) {
+    Incarnation process = server.incarnation();
+    if (pauseMillis(process) == 0 && limits(process).isNone()) {
       listener.onGranted();
       return SendPermit.DONE;
     }
@@ -249,12 +255,12 @@
     private final ServerEntry server;
     private final String process;
     private final Terms terms;
-    private final Listener listener;
+    private final SendPermit.Listener listener;
     private final long latestMillis;
     private boolean reserved;
     private boolean ended;
 
-    private PendingPermit(long id, ServerEntry server, Terms terms, Listener listener) {
+    private PendingPermit(long id, ServerEntry server, Terms terms, SendPermit.Listener listener) {
       this.id = id;
       this.server = server;
       this.process = server.incarnation().toString();
@@ -268,6 +274,11 @@
       if (ended) {
         return;
       }
+      long pauseMillis = pauseMillis(server.incarnation());
+      if (pauseMillis > 0) {
+        onDenied(pauseMillis);
+        return;
+      }
       ServerLimits limits = sharing.limits(process);
       LimiterSelector.Selection selection = selector.select(server);
       Optional<ServerLimit> limit = sharing.message(process);
--- a/node/src/test/java/io/nutmegseam/node/gateway/BufferedHttpClientTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/BufferedHttpClientTest.java
@@ -6,7 +6,10 @@
 import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.nutmegseam.core.fleet.Incarnation;
 import io.nutmegseam.node.control.MonotonicClock;
 import io.nutmegseam.node.rows.CallException;
 import io.nutmegseam.node.settings.HostPort;
@@ -59,24 +62,61 @@
     }
   }
 
+  /** Guards against reports and orders that reach a server which has asked for none. */
+  @Nested
+  class PausedServer {
+    @Test
+    void should_not_send_a_call() throws Exception {
+      try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+        // GIVEN
+        BufferedHttpClient client = client(new FixedAnswer(false));
+        // WHEN
+        CompletableFuture<BufferedHttpClient.Response> response =
+            client.call(
+                new Incarnation("s", 1), request(server, BufferedHttpClient.Request.ANY_TIME));
+        // THEN
+        assertThatThrownBy(response::get)
+            .cause()
+            .isInstanceOfSatisfying(CallException.class, e -> assertThat(e.mayHaveRun()).isFalse());
+        server.setSoTimeout(READ_TIMEOUT_MILLIS);
+        assertThat(firstByteReceived(server)).isLessThanOrEqualTo(0);
+      }
+    }
+  }
+
+  /** Allows or forbids all calls to servers. */
+  private record FixedAnswer(boolean allowed) implements BufferedHttpClient.ServerObserver {
+    @Override
+    public boolean mayCall(Incarnation server) {
+      return allowed;
+    }
+
+    @Override
+    public void onResponse(Incarnation server, HttpResponseStatus status, HttpHeaders headers) {
+      // Nothing is observed.
+    }
+  }
+
+  private BufferedHttpClient client(BufferedHttpClient.ServerObserver observer) {
+    EventLoop loop = group.next();
+    return new BufferedHttpClient(
+        loop, new ServerConnectionPools(loop, "id", clock), clock, observer);
+  }
+
   private CompletableFuture<BufferedHttpClient.Response> call(
       ServerSocket server, long notAfterMillis) {
-    EventLoop loop = group.next();
-    BufferedHttpClient client =
-        new BufferedHttpClient(
-            loop,
-            new ServerConnectionPools(loop, "id", clock),
-            clock,
-            (incarnation, status, headers) -> {});
-    return client.call(
-        new BufferedHttpClient.Request(
-            new HostPort("127.0.0.1", server.getLocalPort()),
-            HttpMethod.GET,
-            "/",
-            Map.of(),
-            ByteString.EMPTY,
-            TIMEOUT_MILLIS,
-            notAfterMillis));
+    return client(new FixedAnswer(true)).call(request(server, notAfterMillis));
+  }
+
+  private static BufferedHttpClient.Request request(ServerSocket server, long notAfterMillis) {
+    return new BufferedHttpClient.Request(
+        new HostPort("127.0.0.1", server.getLocalPort()),
+        HttpMethod.GET,
+        "/",
+        Map.of(),
+        ByteString.EMPTY,
+        TIMEOUT_MILLIS,
+        notAfterMillis);
   }
 
   /** Returns the first byte, or -1 if the connection was closed without one, or 0 on timeout. */
--- a/node/src/test/java/io/nutmegseam/node/gateway/LimitedServerChoiceTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/LimitedServerChoiceTest.java
@@ -8,6 +8,7 @@
 import io.nutmegseam.core.fleet.ModelRef;
 import io.nutmegseam.core.fleet.ServerEntry;
 import io.nutmegseam.core.quota.ServerLimits;
+import io.nutmegseam.node.quota.SendPermit;
 import io.nutmegseam.node.quota.SendQuotas;
 import io.nutmegseam.node.rows.NodeRecord;
 import io.nutmegseam.node.settings.HostPort;
@@ -17,6 +18,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -85,6 +87,56 @@
     }
   }
 
+  /** A server has asked this node for no requests for a time. */
+  @Nested
+  class Paused {
+    private static final long PAUSE_MILLIS = 1_500;
+
+    @BeforeEach
+    void pause() {
+      quotas.onPause(WITH_MODEL.incarnation(), PAUSE_MILLIS);
+    }
+
+    @Test
+    void should_choose_another_server() {
+      assertThat(chooser.choose(fleet(WITH_MODEL, ALSO_WITH_MODEL), criteria()))
+          .contains(ALSO_WITH_MODEL);
+    }
+
+    @Test
+    void should_choose_none_until_its_end_if_there_is_no_other_server() {
+      Fleet fleet = fleet(WITH_MODEL);
+      assertThat(chooser.choose(fleet, criteria())).isEmpty();
+      assertThat(chooser.earliestMillis(fleet, criteria())).isEqualTo(PAUSE_MILLIS);
+      clock.advance(PAUSE_MILLIS);
+      assertThat(chooser.choose(fleet, criteria())).contains(WITH_MODEL);
+    }
+
+    /** The server can serve the request sooner than the model could be loaded elsewhere. */
+    @Test
+    void should_not_count_its_model_as_missing() {
+      assertThat(chooser.isModelMissing(fleet(WITH_MODEL, WITHOUT_MODEL), criteria())).isFalse();
+    }
+
+    @Test
+    void should_not_be_shortened_by_a_later_response() {
+      quotas.onPause(WITH_MODEL.incarnation(), 100);
+      assertThat(quotas.pauseMillis(WITH_MODEL.incarnation())).isEqualTo(PAUSE_MILLIS);
+    }
+
+    @Test
+    void should_not_bind_a_later_process_of_the_server() {
+      assertThat(quotas.pauseMillis(new Incarnation(WITH_MODEL.incarnation().id(), 2))).isZero();
+    }
+
+    @Test
+    void should_name_the_first_end_of_the_pauses_of_all_servers() {
+      quotas.onPause(ALSO_WITH_MODEL.incarnation(), 700);
+      assertThat(chooser.earliestMillis(fleet(WITH_MODEL, ALSO_WITH_MODEL), criteria()))
+          .isEqualTo(700);
+    }
+  }
+
   /** Sends what a limit of one request per second allows at once, and one request more. */
   private void exhaust(ServerEntry server) {
     quotas.onResponse(server.incarnation(), new ServerLimits(1), 0);
@@ -92,7 +144,7 @@
       quotas.acquire(
           server,
           new SendQuotas.Terms(0, false),
-          new SendQuotas.Listener() {
+          new SendPermit.Listener() {
             @Override
             public void onGranted() {}
 
--- a/node/src/test/java/io/nutmegseam/node/gateway/RecordingServer.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/RecordingServer.java
@@ -40,6 +40,7 @@
   private volatile int events = 1;
   private volatile Optional<ServerRoom> room = Optional.empty();
   private volatile Optional<String> leaving = Optional.empty();
+  private volatile Optional<String> retryAfter = Optional.empty();
 
   /**
    * A request that has arrived.
@@ -95,6 +96,11 @@
     leaving = Optional.of(value);
   }
 
+  /** Makes the server reject all requests with a Retry-After header; empty to end that. */
+  void rejectAll(Optional<String> nextRetryAfter) {
+    retryAfter = nextRetryAfter;
+  }
+
   /** Returns when connections were closed while the server ran a request. */
   List<Long> abandonedMillis() {
     return List.copyOf(abandonedMillis);
@@ -179,6 +185,11 @@
     if (outcome == ServerRoom.Outcome.DOWN) {
       return false;
     }
+    if (retryAfter.isPresent()) {
+      String pause = "Retry-After: " + retryAfter.get() + "\r\n";
+      write(socket, REJECTION.formatted(StubServer.header(head, "id"), pause));
+      return true;
+    }
     if (outcome == ServerRoom.Outcome.REJECTED) {
       write(socket, REJECTION.formatted(StubServer.header(head, "id"), limitHeaders()));
       return true;
--- a/node/src/test/java/io/nutmegseam/node/quota/QuotaNetwork.java
+++ b/node/src/test/java/io/nutmegseam/node/quota/QuotaNetwork.java
@@ -140,7 +140,7 @@
       quotas.acquire(
           server,
           new SendQuotas.Terms(maxWaitMillis, hasAlternative),
-          new SendQuotas.Listener() {
+          new SendPermit.Listener() {
             @Override
             public void onGranted() {
               send(current);
