Do not close a connection as idle while a pipelined request waits (LOST)

Callers saw: a request that was pipelined behind another one, read whole by a stopping node, ended with a closed connection and no response. Cause: the next request starts in a task after the end of the one before; the drain's check for idle connections could run in between and did not look at the requests that wait. The idle timeout has the same check.

--- a/node/src/main/java/io/nutmegseam/node/gateway/CallerConnection.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/CallerConnection.java
@@ -82,7 +82,7 @@
 
   /** Closes the connection if no request is in flight or being received. */
   void closeIfIdle() {
-    if (exchange == null && requestHead == null) {
+    if (exchange == null && requestHead == null && pipelined.isEmpty()) {
       channelContext.close();
     }
   }
