--- a/node/src/main/java/io/nutmegseam/node/gateway/CallerConnection.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/CallerConnection.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -54,12 +55,14 @@
   private Exchange exchange;
   private boolean keepAlive;
   private boolean responseHasBody;
+  private int unsentResponses;
 
   /**
    * Creates the handler of a connection.
    *
    * @param context dependencies shared by all requests
-   * @param inFlightChange receives 1 when a request begins and -1 when it ends
+   * @param inFlightChange receives 1 when a request begins and -1 when it ends; the same for a
+   *     response that is being sent, which can take longer than the request
    * @param fromPeer whether the requests come from another node for its callers
    */
   CallerConnection(TrafficContext context, IntConsumer inFlightChange, boolean fromPeer) {
@@ -80,8 +83,14 @@
     }
   }
 
-  /** Closes the connection if no request is in flight or being received. */
+  /** Closes the connection if no request is in flight or being received, and all is sent. */
   void closeIfIdle() {
+    if (unsentResponses == 0) {
+      closeIfWithoutRequest();
+    }
+  }
+
+  private void closeIfWithoutRequest() {
     if (exchange == null && requestHead == null && pipelined.isEmpty()) {
       channelContext.close();
     }
@@ -118,7 +127,7 @@
   @Override
   public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
     if (event instanceof IdleStateEvent) {
-      closeIfIdle();
+      closeIfWithoutRequest();
     }
   }
 
@@ -314,15 +323,20 @@
     if (last instanceof HttpResponse response) {
       setConnectionHeader(response);
     }
-    boolean close = !keepAlive;
-    if (close) {
+    unsentResponses++;
+    inFlightChange.accept(1);
+    ChannelFuture sent = channelContext.writeAndFlush(last).addListener(done -> onResponseSent());
+    if (!keepAlive) {
       closing = true;
-      channelContext.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE);
-    } else {
-      channelContext.writeAndFlush(last);
+      sent.addListener(ChannelFutureListener.CLOSE);
     }
   }
 
+  private void onResponseSent() {
+    unsentResponses--;
+    inFlightChange.accept(-1);
+  }
+
   private void setConnectionHeader(HttpResponse response) {
     if (context.state().isStopping()) {
       keepAlive = false;
