Take over the time to settle only from an outage that this node saw too (DRAIN)

Change: an update's time to settle counts only if this node has not heard of the store for longer than updates replace its reads; what it applies is its own remaining time. Evidence: TableWatcherTest$Following, two tests fail on the code before; the second one had counted the sender's time anew with each update.

--- a/node/src/main/java/io/nutmegseam/node/rows/TableUpdate.java
+++ b/node/src/main/java/io/nutmegseam/node/rows/TableUpdate.java
@@ -30,6 +30,11 @@
     removedKeys = List.copyOf(removedKeys);
   }
 
+  /** Returns a copy with another time for which lapsed rows may still return. */
+  TableUpdate<T> withUnsettledMillis(long millis) {
+    return new TableUpdate<>(items, removedKeys, afterVersion, version, full, ageMillis, millis);
+  }
+
   /** Returns a copy with other items. */
   public TableUpdate<T> withItems(List<T> newItems) {
     return new TableUpdate<>(
--- a/node/src/main/java/io/nutmegseam/node/rows/TableWatcher.java
+++ b/node/src/main/java/io/nutmegseam/node/rows/TableWatcher.java
@@ -147,7 +147,9 @@
       return;
     }
     noteEra(update.version());
-    if (update.unsettledMillis() > 0) {
+    // The sender may be the only node that did not reach the store.
+    boolean outageSeen = ageMillis() > timing.maxUpdateAgeMillis();
+    if (update.unsettledMillis() > 0 && outageSeen) {
       long recoveryMillis = nowMillis - SETTLE_MILLIS + update.unsettledMillis();
       recoveredAtMillis = Math.max(recoveredAtMillis, recoveryMillis);
     }
@@ -155,7 +157,7 @@
     if (update.version() > version) {
       version = update.version();
       fullReadDue &= !update.full();
-      sink.apply(update);
+      sink.apply(update.withUnsettledMillis(unsettledMillis()));
     }
     if (followed) {
       updatesValidUntilMillis = nowMillis - update.ageMillis() + timing.maxUpdateAgeMillis();
@@ -238,9 +240,9 @@
     }
     noteEra(newVersion);
     List<T> items = result.rows().stream().map(decoder).flatMap(Optional::stream).toList();
-    long unsettledMillis = Math.max(0, recoveredAtMillis + SETTLE_MILLIS - nowMillis());
     TableUpdate<T> update =
-        new TableUpdate<>(items, result.removedKeys(), after, newVersion, full, 0, unsettledMillis);
+        new TableUpdate<>(
+            items, result.removedKeys(), after, newVersion, full, 0, unsettledMillis());
     version = newVersion;
     fullReadDue = false;
     TableUpdate<T> changed = sink.apply(update);
@@ -267,6 +269,11 @@
                 .formatted(StorePosition.text(newVersion), StorePosition.text(version)));
   }
 
+  /** Returns the time for which lapsed rows may still return, in milliseconds. */
+  private long unsettledMillis() {
+    return Math.max(0, recoveredAtMillis + SETTLE_MILLIS - nowMillis());
+  }
+
   private void onResponse() {
     lastResponseMillis = nowMillis();
     retryMillis = FIRST_RETRY_MILLIS;
--- a/node/src/test/java/io/nutmegseam/node/rows/TableWatcherTest.java
+++ b/node/src/test/java/io/nutmegseam/node/rows/TableWatcherTest.java
@@ -19,7 +19,7 @@
   private static final long MAX_RETRY_MILLIS = 2_000;
 
   private final ManualClock clock = new ManualClock();
-  private final ScriptedStore store = new ScriptedStore();
+  private final ScriptedRowStore store = new ScriptedRowStore();
   private final List<TableUpdate<Row>> applied = new ArrayList<>();
   private final List<TableUpdate<Row>> forwarded = new ArrayList<>();
   private final TableWatcher<Row> watcher =
@@ -75,7 +75,8 @@
       // WHEN
       run(outageMillis);
       // THEN it is called at most twice per longest retry time, apart from the first retries
-      assertThat(store.calls).isLessThanOrEqualTo((int) (outageMillis / MAX_RETRY_MILLIS) * 2 + 6);
+      assertThat(store.calls())
+          .isLessThanOrEqualTo((int) (outageMillis / MAX_RETRY_MILLIS) * 2 + 6);
       assertThat(watcher.isStoreUnavailable()).isTrue();
     }
 
@@ -84,13 +85,13 @@
     void should_retry_at_the_next_tick_after_another_table_was_read() {
       // GIVEN
       run(10_000);
-      int callsBefore = store.calls;
+      int callsBefore = store.calls();
       store.addResult(result(7, "a"));
       // WHEN
       watcher.retryAtNextTick();
       watcher.tick();
       // THEN
-      assertThat(store.calls).isEqualTo(callsBefore + 1);
+      assertThat(store.calls()).isEqualTo(callsBefore + 1);
       assertThat(watcher.isStoreUnavailable()).isFalse();
     }
 
@@ -130,30 +131,67 @@
       // GIVEN
       store.addResult(result(7, "a"));
       watcher.tick();
-      int callsBefore = store.calls;
+      int callsBefore = store.calls();
       // WHEN
       for (int version = 8; version < 28; version++) {
         watcher.onUpdate(update(version - 1, version, 0), true);
         run(TIMING.pauseMillis());
       }
       // THEN
-      assertThat(store.calls).isEqualTo(callsBefore);
+      assertThat(store.calls()).isEqualTo(callsBefore);
       assertThat(applied).hasSize(21);
       assertThat(forwarded).hasSize(1);
     }
 
+    /**
+     * Guards against rows that are kept after their removal since the path of another node to the
+     * store was down, though this node has read the store all along.
+     */
+    @Test
+    void should_not_wait_for_rows_to_return_after_an_outage_that_only_the_sender_saw() {
+      // GIVEN
+      store.addResult(result(7, "a"));
+      watcher.tick();
+      // WHEN
+      watcher.onUpdate(removal(5, 9), false);
+      // THEN
+      assertThat(applied.get(1).removedKeys()).containsExactly("a");
+      assertThat(applied.get(1).unsettledMillis()).isZero();
+    }
+
+    @Test
+    void should_wait_for_rows_to_return_after_an_outage_that_this_node_saw_too() {
+      // GIVEN
+      store.addResult(result(7, "a"));
+      watcher.tick();
+      run(2 * TIMING.maxUpdateAgeMillis());
+      // WHEN
+      watcher.onUpdate(removal(7, 9), true);
+      clock.nowMillis += 500;
+      watcher.onUpdate(removal(9, 10), true);
+      // THEN
+      assertThat(applied.get(1).unsettledMillis()).isEqualTo(TableWatcher.SETTLE_MILLIS);
+      assertThat(applied.get(2).unsettledMillis()).isEqualTo(TableWatcher.SETTLE_MILLIS - 500);
+    }
+
+    /** Returns an update of a node whose reads have just succeeded again. */
+    private static TableUpdate<Row> removal(long after, long version) {
+      return new TableUpdate<>(
+          List.of(), List.of("a"), after, version, false, 0, TableWatcher.SETTLE_MILLIS);
+    }
+
     @Test
     void should_read_once_the_followed_node_stops_sending_updates() {
       // GIVEN
       store.addResult(result(7, "a"));
       watcher.tick();
       watcher.onUpdate(update(7, 8, 0), true);
-      int callsBefore = store.calls;
+      int callsBefore = store.calls();
       store.addResult(result(9, "b"));
       // WHEN
       run(TIMING.maxUpdateAgeMillis());
       // THEN
-      assertThat(store.calls).isEqualTo(callsBefore + 1);
+      assertThat(store.calls()).isEqualTo(callsBefore + 1);
       assertThat(applied.get(2).version()).isEqualTo(9);
     }
 
@@ -176,13 +214,13 @@
       // GIVEN
       store.addResult(result(7, "a"));
       watcher.tick();
-      int callsBefore = store.calls;
+      int callsBefore = store.calls();
       store.addResult(result(9, "b"));
       // WHEN an update arrives whose age has reached the limit
       watcher.onUpdate(update(7, 8, TIMING.maxUpdateAgeMillis()), true);
       run(TIMING.pauseMillis());
       // THEN
-      assertThat(store.calls).isEqualTo(callsBefore + 1);
+      assertThat(store.calls()).isEqualTo(callsBefore + 1);
     }
 
     @Test
@@ -215,14 +253,14 @@
       // GIVEN
       store.addResult(result(7, "a"));
       watcher.tick();
-      int callsBefore = store.calls;
+      int callsBefore = store.calls();
       store.addResult(result(8, "b"));
       // WHEN
       watcher.onUpdate(update(7, 8, 0), false);
       run(TIMING.pauseMillis());
       // THEN
       assertThat(applied.get(1).version()).isEqualTo(8);
-      assertThat(store.calls).isEqualTo(callsBefore + 1);
+      assertThat(store.calls()).isEqualTo(callsBefore + 1);
     }
 
     @Test
@@ -304,11 +342,11 @@
     void should_apply_a_full_update_of_a_new_era_without_a_read_of_its_own() {
       store.addResult(result(70, "a"));
       watcher.tick();
-      int callsBefore = store.calls;
+      int callsBefore = store.calls();
       watcher.onUpdate(fullUpdate(StorePosition.of(NEW_ERA, 20)), true);
       run(TIMING.pauseMillis());
       assertThat(applied).hasSize(2);
-      assertThat(store.calls).isEqualTo(callsBefore);
+      assertThat(store.calls()).isEqualTo(callsBefore);
     }
 
     private TableUpdate<Row> fullUpdate(long version) {
@@ -342,52 +380,4 @@
       return Instant.ofEpochMilli(nowMillis);
     }
   }
-
-  /** Returns the next scripted result for each call, and fails the call if there is none. */
-  private static final class ScriptedStore implements RowStore {
-    private final List<CompletableFuture<Optional<ReadResult>>> results = new ArrayList<>();
-    private int calls;
-
-    void addResult(ReadResult result) {
-      results.add(CompletableFuture.completedFuture(Optional.of(result)));
-    }
-
-    void addMissingHistory() {
-      results.add(CompletableFuture.completedFuture(Optional.empty()));
-    }
-
-    CompletableFuture<Optional<ReadResult>> addPendingResult() {
-      results.add(new CompletableFuture<>());
-      return results.get(results.size() - 1);
-    }
-
-    private CompletableFuture<Optional<ReadResult>> next() {
-      calls++;
-      return results.isEmpty()
-          ? CompletableFuture.failedFuture(new IllegalStateException("the store is down"))
-          : results.remove(0);
-    }
-
-    @Override
-    public CompletableFuture<ReadResult> readAll(String name) {
-      return next().thenApply(Optional::orElseThrow);
-    }
-
-    @Override
-    public CompletableFuture<Optional<ReadResult>> readChanges(
-        String name, long after, long waitMillis) {
-      return next();
-    }
-
-    @Override
-    public CompletableFuture<Optional<Row>> get(String name, String key) {
-      throw new UnsupportedOperationException(key);
-    }
-
-    @Override
-    public CompletableFuture<Optional<Long>> write(
-        String name, String key, long expectedVersion, String value) {
-      throw new UnsupportedOperationException(key);
-    }
-  }
 }
