--- a/node/src/main/java/io/nutmegseam/node/gateway/CallerConnection.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/CallerConnection.java
@@ -33,6 +33,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.function.IntConsumer;
 
 /**
@@ -155,7 +156,12 @@
       reject(GatewayErrors.malformed("ambiguous Content-Length or Transfer-Encoding"));
       return;
     }
-    requestHead = request;
+    Optional<String> target = RequestTargets.decode(request.uri());
+    if (target.isEmpty()) {
+      reject(GatewayErrors.malformed("the request target is not valid UTF-8"));
+      return;
+    }
+    requestHead = request.setUri(target.get());
     requestBody = channelContext.alloc().compositeBuffer();
     if (HttpUtil.is100ContinueExpected(request)) {
       channelContext.writeAndFlush(
--- a/node/src/test/java/io/nutmegseam/node/gateway/GatewayWireTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/GatewayWireTest.java
@@ -1,5 +1,7 @@
 package io.nutmegseam.node.gateway;
 
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.awaitility.Awaitility.await;
 
@@ -9,6 +11,7 @@
 import io.nutmegseam.node.gateway.StubServer.ConnectionAction;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.Socket;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.Callable;
@@ -222,6 +225,31 @@
 
   @Nested
   class Requests {
+    /** Guards against targets that reach a server with other bytes than the caller sent. */
+    @Test
+    void should_forward_a_target_outside_ascii_unchanged() throws Exception {
+      try (StubServer server = new StubServer("a", COMPLETE, ConnectionAction.KEEP)) {
+        configure(RequestKind.NON_IDEMPOTENT, server);
+        String target = "/p/Špindlerův?q=\u0159\uD83C\uDF5C";
+        exchange("GET " + target + " HTTP/1.1\r\nHost: h\r\nid: 1\r\nConnection: close\r\n\r\n");
+        String sent = new String(target.getBytes(UTF_8), ISO_8859_1);
+        assertThat(server.requestHeads().get(0)).startsWith("GET " + sent + " HTTP/1.1");
+      }
+    }
+
+    @Test
+    void should_refuse_a_target_that_is_not_utf8() throws Exception {
+      try (Socket socket = gateway.connect()) {
+        socket
+            .getOutputStream()
+            .write("GET /p/\u00e9 HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(ISO_8859_1));
+        byte[] received = socket.getInputStream().readAllBytes();
+        assertThat(new String(received, UTF_8))
+            .startsWith("HTTP/1.1 400")
+            .contains("not valid UTF-8");
+      }
+    }
+
     @Test
     void should_send_the_expected_server_and_the_remaining_time() throws Exception {
       try (StubServer server = new StubServer("a", COMPLETE, ConnectionAction.KEEP)) {
