Send the parts of a response that are read together to the caller together

Seen: EndlessResponseTest$Body case 1 needed 1,462 ms and 1,030 ms of processor time, 1,000 allowed (review). It is the only case whose chunks have content, one byte each, and each was written and flushed, with a system call, by itself.

Ruled out as the whole cause: class loading and compilation; a second run in the same process took 712 ms, and the first one failed. Change: content is written at once and flushed by a task after the present read; what was written is flushed before a response is aborted. The bound is unchanged. CallerConnectionTest$SmallParts holds that an abort loses nothing.

--- a/node/src/main/java/io/nutmegseam/node/gateway/CallerConnection.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/CallerConnection.java
@@ -57,6 +57,7 @@
   private boolean keepAlive;
   private boolean responseHasBody;
   private int unsentResponses;
+  private boolean flushScheduled;
 
   /**
    * Creates the handler of a connection.
@@ -304,9 +305,19 @@
     channelContext.writeAndFlush(response);
   }
 
+  /** Writes content; what is read from a server at one time is sent to the caller together. */
   @Override
   public void writeContent(ByteBuf content) {
-    channelContext.writeAndFlush(new DefaultHttpContent(content.retainedSlice()));
+    channelContext.write(new DefaultHttpContent(content.retainedSlice()));
+    if (!flushScheduled) {
+      flushScheduled = true;
+      channelContext.channel().eventLoop().execute(this::flush);
+    }
+  }
+
+  private void flush() {
+    flushScheduled = false;
+    channelContext.flush();
   }
 
   @Override
@@ -317,6 +328,7 @@
   @Override
   public void abort() {
     closing = true;
+    channelContext.flush();
     channelContext.close();
   }
 
--- a/node/src/test/java/io/nutmegseam/node/gateway/CallerConnectionTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/CallerConnectionTest.java
@@ -71,6 +71,32 @@
     }
   }
 
+  /** Guards against parts of a response that are lost because they are sent together. */
+  @Nested
+  class SmallParts {
+    private static final int PARTS = 100;
+
+    private final CallerConnection connection = new CallerConnection(null, change -> {}, false);
+    private final BlockableChannel channel = new BlockableChannel(connection);
+    private final ByteBuf part = Unpooled.buffer().writeZero(1);
+
+    @AfterEach
+    void release() {
+      channel.finishAndReleaseAll();
+      part.release();
+    }
+
+    @Test
+    void should_be_sent_before_the_connection_is_aborted() {
+      for (int i = 0; i < PARTS; i++) {
+        connection.writeContent(part);
+      }
+      connection.abort();
+      assertThat(channel.outboundMessages()).hasSize(PARTS);
+      assertThat(channel.isOpen()).isFalse();
+    }
+  }
+
   /** A channel that sends nothing while it is blocked, as that of a caller that does not read. */
   private static final class BlockableChannel extends EmbeddedChannel {
     private boolean blocked;
