Look for pauses of servers only once a server has asked for one

The choice of a server made a text of each candidate's process for it, on every request. No behaviour changes; PausedServerTest and LimitedServerChoiceTest pass.

--- a/node/src/main/java/io/nutmegseam/node/quota/ExhaustedQuotas.java
+++ b/node/src/main/java/io/nutmegseam/node/quota/ExhaustedQuotas.java
@@ -42,6 +42,11 @@
     onDenied(process, false, Math.max(millis, millis(process, false)));
   }
 
+  /** Returns whether no send was ever denied. */
+  boolean isEmpty() {
+    return untilMillisByKey.isEmpty();
+  }
+
   /** Returns for how long a send would still be denied, in milliseconds. */
   long millis(String process, boolean hasAlternative) {
     long nowMillis = clock.millis();
--- a/node/src/main/java/io/nutmegseam/node/quota/SendQuotas.java
+++ b/node/src/main/java/io/nutmegseam/node/quota/SendQuotas.java
@@ -145,7 +145,7 @@
 
   /** Returns for how long a server still asks this node for no requests, in milliseconds. */
   public long pauseMillis(Incarnation server) {
-    return pauses.millis(server.toString(), false);
+    return pauses.isEmpty() ? 0 : pauses.millis(server.toString(), false);
   }
 
   /** Applies that a server asks this node for no requests for a time, in milliseconds. */
@@ -166,11 +166,12 @@
 
   /**
    * Asks for the permit to send a request to a server. The outcome follows at once for a server
-   * without limits, and after the answer of another node otherwise.
+   * without limits, after a pause that the server has asked for, or after the answer of another
+   * node.
    */
   public SendPermit acquire(ServerEntry server, Terms terms, SendPermit.Listener listener) {
-    Incarnation process = server.incarnation();
-    if (pauseMillis(process) == 0 && limits(process).isNone()) {
+    Incarnation incarnation = server.incarnation();
+    if (pauseMillis(incarnation) == 0 && limits(incarnation).isNone()) {
       listener.onGranted();
       return SendPermit.DONE;
     }
