Names of the guard of calls to servers and of the pause that they ask for; what tests guard against

ServerObserver also decides on calls: ServerCallGuard. NamedLimits.onStatus reads a pause: readPause. The comment on the first limit of store loads says its reason alone. Tests that had no line on their failure have one. New: BufferedHttpClientTest$ServerResponse, that responses to orders and reports reach the guard.

--- a/core/src/main/java/io/nutmegseam/core/orders/StoreLoadLimiter.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/StoreLoadLimiter.java
@@ -24,9 +24,8 @@
   private static final double SERVER_FAULT_RATIO = 2.2;
 
   /**
-   * Limit of parallel loads until the first estimate. If the store serves fewer at full speed, the
-   * first loads tell so; a lower limit would be raised after them, and the loads that tell would
-   * take the store for longer, when callers already ask for models.
+   * Limit of parallel loads until the first estimate. The loads that show how many the store serves
+   * at full speed begin with the node, and should not take the store when callers ask for models.
    */
   private static final int INITIAL_PARALLEL_LOADS = 4;
 
--- a/node/src/main/java/io/nutmegseam/node/gateway/Attempt.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/Attempt.java
@@ -365,7 +365,7 @@
     HttpHeaders headers = head.headers();
     if (head.status().code() != STATUS_MISDIRECTED) {
       context.limits().onResponse(server.incarnation(), headers, sentMillis);
-      context.limits().onStatus(server.incarnation(), head.status(), headers);
+      context.limits().readPause(server.incarnation(), head.status(), headers);
     }
     String text = headers.get(context.headers().load());
     if (text == null) {
--- a/node/src/main/java/io/nutmegseam/node/gateway/BufferedHttpClient.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/BufferedHttpClient.java
@@ -33,10 +33,10 @@
   private final EventLoop loop;
   private final ServerConnectionPools pools;
   private final InstantSource clock;
-  private final ServerObserver observer;
+  private final ServerCallGuard guard;
 
   /** Decides on calls to servers and observes their responses, on the traffic thread. */
-  public interface ServerObserver {
+  public interface ServerCallGuard {
     /** Returns whether a server may be called now. */
     boolean mayCall(Incarnation server);
 
@@ -82,14 +82,14 @@
    * @param loop the traffic thread
    * @param pools connection pools
    * @param clock monotonic clock
-   * @param observer decides on calls to servers and observes their responses
+   * @param guard decides on calls to servers and observes their responses
    */
   BufferedHttpClient(
-      EventLoop loop, ServerConnectionPools pools, InstantSource clock, ServerObserver observer) {
+      EventLoop loop, ServerConnectionPools pools, InstantSource clock, ServerCallGuard guard) {
     this.loop = loop;
     this.pools = pools;
     this.clock = clock;
-    this.observer = observer;
+    this.guard = guard;
   }
 
   /**
@@ -104,7 +104,7 @@
     CompletableFuture<Response> result = new CompletableFuture<>();
     loop.execute(
         () -> {
-          if (observer.mayCall(server)) {
+          if (guard.mayCall(server)) {
             new PendingCall(request, result).start();
           } else {
             String text = request.method() + " " + request.target() + ": " + server + " is paused";
@@ -115,7 +115,7 @@
         (response, e) -> {
           if (e == null) {
             HttpResponseStatus status = HttpResponseStatus.valueOf(response.status());
-            observer.onResponse(server, status, response.headers());
+            guard.onResponse(server, status, response.headers());
           }
         });
   }
--- a/node/src/main/java/io/nutmegseam/node/gateway/NamedLimits.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/NamedLimits.java
@@ -67,7 +67,7 @@
    * @param status status of the response
    * @param headers headers of the response
    */
-  void onStatus(Incarnation server, HttpResponseStatus status, HttpHeaders headers) {
+  void readPause(Incarnation server, HttpResponseStatus status, HttpHeaders headers) {
     String text = headers.get(HttpHeaderNames.RETRY_AFTER);
     if (text == null || status.code() != HttpResponseStatus.SERVICE_UNAVAILABLE.code()) {
       return;
--- a/node/src/main/java/io/nutmegseam/node/gateway/ServerNotices.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/ServerNotices.java
@@ -5,14 +5,14 @@
 import io.nutmegseam.core.fleet.Incarnation;
 import io.nutmegseam.node.quota.SendQuotas;
 
-/** Applies what servers say of themselves in responses to orders and reports. */
-final class ServerNotices implements BufferedHttpClient.ServerObserver {
+/** Respects and applies what servers say of themselves in responses to orders and reports. */
+final class ServerNotices implements BufferedHttpClient.ServerCallGuard {
   private final LeavingServers leaving;
   private final NamedLimits limits;
   private final SendQuotas quotas;
 
   /**
-   * Creates an observer.
+   * Creates a guard of these calls.
    *
    * @param leaving reads which servers are leaving
    * @param limits reads for how long servers ask for no requests
@@ -32,6 +32,6 @@
   @Override
   public void onResponse(Incarnation server, HttpResponseStatus status, HttpHeaders headers) {
     leaving.onResponse(server, status, headers);
-    limits.onStatus(server, status, headers);
+    limits.readPause(server, status, headers);
   }
 }
--- a/node/src/test/java/io/nutmegseam/node/gateway/BufferedHttpClientTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/BufferedHttpClientTest.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.nutmegseam.core.fleet.Incarnation;
+import io.nutmegseam.core.fleet.ServerEntry;
 import io.nutmegseam.node.control.MonotonicClock;
 import io.nutmegseam.node.rows.CallException;
 import io.nutmegseam.node.settings.HostPort;
@@ -19,6 +20,8 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.time.Clock;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -73,7 +76,8 @@
         // WHEN
         CompletableFuture<BufferedHttpClient.Response> response =
             client.call(
-                new Incarnation("s", 1), request(server, BufferedHttpClient.Request.ANY_TIME));
+                new Incarnation("s", 1),
+                request(server.getLocalPort(), BufferedHttpClient.Request.ANY_TIME));
         // THEN
         assertThatThrownBy(response::get)
             .cause()
@@ -84,8 +88,43 @@
     }
   }
 
+  /** Guards against orders and reports whose responses tell nobody that their server leaves. */
+  @Nested
+  class ServerResponse {
+    @Test
+    void should_be_shown_to_the_guard() throws Exception {
+      String rejection =
+          TestGateway.lines("HTTP/1.1 503 Full|Retry-After: 2|leaving: 1|Content-Length: 0||");
+      try (StubServer server = new StubServer("s", rejection, StubServer.ConnectionAction.KEEP)) {
+        // GIVEN
+        List<String> shown = new ArrayList<>();
+        BufferedHttpClient client =
+            client(
+                new BufferedHttpClient.ServerCallGuard() {
+                  @Override
+                  public boolean mayCall(Incarnation called) {
+                    return true;
+                  }
+
+                  @Override
+                  public void onResponse(
+                      Incarnation called, HttpResponseStatus status, HttpHeaders headers) {
+                    shown.add(called + " " + status.code() + " " + headers.get("retry-after"));
+                  }
+                });
+        // WHEN
+        ServerEntry entry = server.entry("llm");
+        client
+            .call(entry.incarnation(), request(entry.port(), BufferedHttpClient.Request.ANY_TIME))
+            .get();
+        // THEN
+        assertThat(shown).containsExactly("s@1 503 2");
+      }
+    }
+  }
+
   /** Allows or forbids all calls to servers. */
-  private record FixedAnswer(boolean allowed) implements BufferedHttpClient.ServerObserver {
+  private record FixedAnswer(boolean allowed) implements BufferedHttpClient.ServerCallGuard {
     @Override
     public boolean mayCall(Incarnation server) {
       return allowed;
@@ -97,7 +136,7 @@
     }
   }
 
-  private BufferedHttpClient client(BufferedHttpClient.ServerObserver observer) {
+  private BufferedHttpClient client(BufferedHttpClient.ServerCallGuard observer) {
     EventLoop loop = group.next();
     return new BufferedHttpClient(
         loop, new ServerConnectionPools(loop, "id", clock), clock, observer);
@@ -105,12 +144,12 @@
 
   private CompletableFuture<BufferedHttpClient.Response> call(
       ServerSocket server, long notAfterMillis) {
-    return client(new FixedAnswer(true)).call(request(server, notAfterMillis));
+    return client(new FixedAnswer(true)).call(request(server.getLocalPort(), notAfterMillis));
   }
 
-  private static BufferedHttpClient.Request request(ServerSocket server, long notAfterMillis) {
+  private static BufferedHttpClient.Request request(int port, long notAfterMillis) {
     return new BufferedHttpClient.Request(
-        new HostPort("127.0.0.1", server.getLocalPort()),
+        new HostPort("127.0.0.1", port),
         HttpMethod.GET,
         "/",
         Map.of(),
--- a/node/src/test/java/io/nutmegseam/node/gateway/PausedServerTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/PausedServerTest.java
@@ -102,7 +102,7 @@
     @ParameterizedTest
     @CsvSource({"1, 1000", "0.25, 250", "0, 0", "3600, 3600000"})
     void should_be_read_as_seconds(String value, long pauseMillis) {
-      limits.onStatus(SERVER, HttpResponseStatus.SERVICE_UNAVAILABLE, headers(value));
+      limits.readPause(SERVER, HttpResponseStatus.SERVICE_UNAVAILABLE, headers(value));
       assertThat(quotas.pauseMillis(SERVER)).isEqualTo(pauseMillis);
     }
 
@@ -110,13 +110,13 @@
     @ValueSource(
         strings = {"-1", "Wed, 21 Oct 2026 07:28:00 GMT", "soon", "", "NaN", "Infinity", "1e9"})
     void should_be_ignored_if_it_is_no_number_of_seconds(String value) {
-      limits.onStatus(SERVER, HttpResponseStatus.SERVICE_UNAVAILABLE, headers(value));
+      limits.readPause(SERVER, HttpResponseStatus.SERVICE_UNAVAILABLE, headers(value));
       assertThat(quotas.pauseMillis(SERVER)).isZero();
     }
 
     @Test
     void should_be_ignored_in_responses_with_another_status() {
-      limits.onStatus(SERVER, HttpResponseStatus.TOO_MANY_REQUESTS, headers("5"));
+      limits.readPause(SERVER, HttpResponseStatus.TOO_MANY_REQUESTS, headers("5"));
       assertThat(quotas.pauseMillis(SERVER)).isZero();
     }
 
--- a/node/src/test/java/io/nutmegseam/node/rows/TableWatcherTest.java
+++ b/node/src/test/java/io/nutmegseam/node/rows/TableWatcherTest.java
@@ -159,6 +159,7 @@
       assertThat(applied.get(1).unsettledMillis()).isZero();
     }
 
+    /** Guards against a time to settle that begins anew with each update of its sender. */
     @Test
     void should_wait_for_rows_to_return_after_an_outage_that_this_node_saw_too() {
       // GIVEN
