--- a/core/src/main/java/io/nutmegseam/core/orders/StoreLoadLimiter.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/StoreLoadLimiter.java
@@ -23,14 +23,8 @@
    */
   private static final double SERVER_FAULT_RATIO = 2.2;
 
-  /**
-   * Limit of parallel loads until the first estimate. The loads that show how many the store serves
-   * at full speed begin with the node, and should not take the store when callers ask for models.
-   */
-  private static final int INITIAL_PARALLEL_LOADS = 4;
-
-  /** The estimate is not lowered further by a load that is still in flight. */
-  private static final int MIN_ESTIMATE_IN_FLIGHT = 2;
+  /** Limit of parallel loads until the first estimate. */
+  private static final int INITIAL_PARALLEL_LOADS = 2;
 
   private static final int GROWTH_FACTOR = 2;
 
@@ -126,7 +120,7 @@
       int fullSpeedLoads =
           (int) Math.round(meanParallelLoads * uncontendedMillis / minDurationMillis);
       // A load in flight may be slow because of its server; others then end in time.
-      int lowest = done ? 1 : Math.min(parallelLoads, MIN_ESTIMATE_IN_FLIGHT);
+      int lowest = done ? 1 : Math.min(parallelLoads, INITIAL_PARALLEL_LOADS);
       parallelLoads = Math.max(lowest, Math.min(parallelLoads, fullSpeedLoads));
       growthAllowedFromMillis = nowMillis + GROWTH_PAUSE_MILLIS;
     } else if (done
