--- a/core/src/main/java/io/nutmegseam/core/orders/OrderTracker.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/OrderTracker.java
@@ -22,12 +22,9 @@
    */
   private static final long RETRY_INTERVAL_MILLIS = 80;
 
-  /** A refused order is not sent again later than this after it was first sent. */
+  /** An order is not sent again later than this after it was first sent. */
   private static final long RETRY_TIMEOUT_MILLIS = 3_000;
 
-  /** An unanswered order that no report shows by this time was lost or will arrive late. */
-  private static final long UNANSWERED_TIMEOUT_MILLIS = 1_200;
-
   /** A load from disk or host memory counts as done this long after its expected completion. */
   private static final long LOAD_MARGIN_MILLIS = 30;
 
@@ -41,6 +38,13 @@
   private Phase phase = Phase.NONE;
   private ModelOrder pendingOrder;
   private boolean followsUnload;
+
+  /** Whether the pending order was sent without a response, so that it may be carried out. */
+  private boolean outcomeUnknown;
+
+  /** Whether an earlier order may be carried out in place of the pending one. */
+  private boolean earlierOrderMayArrive;
+
   private boolean responds = true;
   private long sentMillis;
   private long firstSentMillis;
@@ -48,7 +52,7 @@
   private long dueMillis;
   private long nextStepMillis;
   private long verifyAtMillis = Long.MAX_VALUE;
-  private long lateDeliveryUntilMillis = Long.MIN_VALUE;
+  private long lateDeliveryUntilMillis;
   private long lateStoreLoadUntilMillis = Long.MIN_VALUE;
 
   private enum Phase {
@@ -56,7 +60,8 @@
     SENT,
     ACCEPTED,
     REFUSED,
-    UNANSWERED
+    UNANSWERED,
+    RETRY
   }
 
   /** The next step for a server. */
@@ -75,7 +80,20 @@
    * @param reported inventory that the server reported, with its order count
    */
   public OrderTracker(Inventory reported) {
+    this(reported, Long.MIN_VALUE / 2);
+  }
+
+  /**
+   * Creates a tracker for a server to which an earlier holder of the order lease may have sent
+   * orders.
+   *
+   * @param reported inventory that the server reported, with its order count
+   * @param earlierHolderEndMillis monotonic time at which that holder has sent its last order, at
+   *     the latest
+   */
+  public OrderTracker(Inventory reported, long earlierHolderEndMillis) {
     this.inventory = reported;
+    this.lateDeliveryUntilMillis = earlierHolderEndMillis + MAX_DELIVERY_DELAY_MILLIS;
   }
 
   /** Returns the inventory of the server, as known from responses and reports. */
@@ -93,6 +111,11 @@
     return phase == Phase.NONE ? 0 : dueMillis;
   }
 
+  /** Returns whether the server is known to carry out the pending order. */
+  public boolean isAccepted() {
+    return phase == Phase.ACCEPTED;
+  }
+
   /** Returns the monotonic time at which the pending order was last sent. */
   public long pendingSentMillis() {
     return sentMillis;
@@ -129,6 +152,8 @@
       applyToInventory(pendingOrder);
     }
     pendingOrder = sent;
+    outcomeUnknown = false;
+    earlierOrderMayArrive = nowMillis < lateDeliveryUntilMillis;
     phase = Phase.SENT;
     sentMillis = nowMillis;
     firstSentMillis = nowMillis;
@@ -185,6 +210,7 @@
   public void onNoResponse(long nowMillis) {
     if (phase == Phase.SENT) {
       phase = Phase.UNANSWERED;
+      outcomeUnknown = true;
       lateDeliveryUntilMillis = nowMillis + MAX_DELIVERY_DELAY_MILLIS;
       if (pendingOrder.isStoreLoad()) {
         lateStoreLoadUntilMillis = lateDeliveryUntilMillis;
@@ -200,16 +226,51 @@
     if (reported.orderCount() < inventory.orderCount()) {
       return;
     }
-    boolean orderAccepted = reported.orderCount() > inventory.orderCount();
+    long acceptedOrders = reported.orderCount() - inventory.orderCount();
     inventory = reported;
+    if (acceptedOrders > 0) {
+      forgetLateOrders();
+    }
     verifyAtMillis =
         nowMillis < lateDeliveryUntilMillis ? nowMillis + VERIFY_DELAY_MILLIS : Long.MAX_VALUE;
-    boolean done = phase == Phase.ACCEPTED && !reported.busy();
-    // A higher count does not identify the accepted order: an earlier one may have arrived late.
-    boolean outcomeKnown = orderAccepted || nowMillis - sentMillis > UNANSWERED_TIMEOUT_MILLIS;
-    if (done || phase == Phase.REFUSED || (phase == Phase.UNANSWERED && outcomeKnown)) {
-      phase = Phase.NONE;
+    phase = phaseAfterReport(acceptedOrders, nowMillis);
+  }
+
+  private Phase phaseAfterReport(long acceptedOrders, long nowMillis) {
+    if (phase == Phase.ACCEPTED) {
+      return inventory.busy() ? Phase.ACCEPTED : Phase.NONE;
     }
+    if (phase != Phase.REFUSED && phase != Phase.UNANSWERED) {
+      return phase;
+    }
+    if (acceptedOrders == 1 && isPendingOrderRunning()) {
+      dueMillis = nowMillis + expectedDurationMillis;
+      nextStepMillis = Math.max(dueMillis, nowMillis + REPORT_LAG_MILLIS);
+      return Phase.ACCEPTED;
+    }
+    // Sent again with the same count, an order is carried out once, whichever arrives first.
+    boolean resend =
+        acceptedOrders == 0
+            && phase == Phase.UNANSWERED
+            && nowMillis - firstSentMillis < RETRY_TIMEOUT_MILLIS;
+    return resend ? Phase.RETRY : Phase.NONE;
+  }
+
+  /**
+   * Returns whether the order that a busy server has accepted is the pending one. The count does
+   * not tell it from an earlier one that has arrived late.
+   */
+  private boolean isPendingOrderRunning() {
+    return inventory.busy()
+        && outcomeUnknown
+        && !earlierOrderMayArrive
+        && !pendingOrder.ref().isAdapter();
+  }
+
+  /** Forgets the orders that may arrive late: the server refuses them, as its count has changed. */
+  private void forgetLateOrders() {
+    lateDeliveryUntilMillis = Long.MIN_VALUE;
+    lateStoreLoadUntilMillis = Long.MIN_VALUE;
   }
 
   /** Returns the next step; marks a load from disk or host memory as done when it is due. */
@@ -226,6 +287,9 @@
     if (phase == Phase.SENT || fastLoad) {
       return NextStep.WAIT;
     }
+    if (phase == Phase.RETRY) {
+      return NextStep.SEND_AGAIN;
+    }
     if (phase == Phase.NONE) {
       boolean reportNeeded = inventory.busy() || !responds || nowMillis >= verifyAtMillis;
       return reportNeeded && nowMillis >= nextStepMillis ? NextStep.ASK : NextStep.WAIT;
@@ -254,6 +318,7 @@
     phase = Phase.ACCEPTED;
     dueMillis = nowMillis + expectedDurationMillis;
     inventory = withOrderCount(inventory, inventory.orderCount() + 1);
+    forgetLateOrders();
     if (pendingOrder.ref().isAdapter()) {
       applyToInventory(pendingOrder);
       markDone(nowMillis);
@@ -267,6 +332,7 @@
         pendingOrder.ref().isAdapter() && pendingOrder.operation() == ModelOrder.Operation.UNLOAD;
     if (adapterUnload) {
       inventory = withOrderCount(inventory, inventory.orderCount() + 1);
+      forgetLateOrders();
       applyToInventory(pendingOrder);
       markDone(nowMillis);
     } else {
--- a/node/src/main/java/io/nutmegseam/node/gateway/OrderControl.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/OrderControl.java
@@ -214,17 +214,20 @@
   }
 
   /** Records the progress of a store load as a report of its server shows it. */
-  private void observeStoreLoad(ModelOrder order, OrderTracker tracker, long nowMillis) {
-    if (!order.isStoreLoad()) {
-      return;
-    }
+  private void observeStoreLoad(
+      ModelOrder order, OrderTracker tracker, boolean wasAccepted, long nowMillis) {
     StoreLoadLimiter storeLoads = dependencies.storeLoads();
     String server = order.server().toString();
     boolean busy = tracker.inventory().busy();
-    if (tracker.pending().isPresent()) {
-      if (busy) {
+    if (tracker.isAccepted()) {
+      if (wasAccepted) {
         storeLoads.onProgress(server, nowMillis);
+      } else {
+        storeLoads.onAccepted(server, nowMillis);
       }
+    } else if (tracker.pending().isPresent()) {
+      // The server has not accepted the order yet.
+      return;
     } else if (tracker.inventory().hasLoaded(order.ref())) {
       storeLoads.onDone(server, nowMillis);
     } else if (busy) {
@@ -341,8 +344,11 @@
       return;
     }
     Optional<ModelOrder> before = tracker.pending();
+    boolean wasAccepted = tracker.isAccepted();
     tracker.onReport(InventoryMerger.merge(inventory, tracker.inventory()), clock.millis());
-    before.ifPresent(order -> observeStoreLoad(order, tracker, clock.millis()));
+    before
+        .filter(order -> order.isStoreLoad() && isTracked(tracker, order))
+        .ifPresent(order -> observeStoreLoad(order, tracker, wasAccepted, clock.millis()));
     logSettled(before, tracker, entry.incarnation());
   }
 
@@ -384,7 +390,8 @@
                             trackerByServer.putIfAbsent(
                                 server,
                                 new OrderTracker(
-                                    InventoryMerger.merge(inventory, entry.inventory())));
+                                    InventoryMerger.merge(inventory, entry.inventory()),
+                                    inventorySync.startMillis()));
                           }
                         }));
   }
