--- a/core/src/main/java/io/nutmegseam/core/orders/StoreLoadLimiter.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/StoreLoadLimiter.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.LongStream;
+import java.util.stream.Stream;
 
 /**
  * Limits the loads from the weight store: their rate over a sliding window, and the number of
@@ -37,7 +38,11 @@
   /** Limit of parallel loads until the first estimate. */
   private static final int INITIAL_PARALLEL_LOADS = 2;
 
-  private static final int GROWTH_FACTOR = 2;
+  /**
+   * Each step beyond the number that was seen at full speed. A store that is full already serves
+   * the loads of a step slower, so a step adds few of them.
+   */
+  private static final double GROWTH_FACTOR = 1.5;
 
   /** After loads slowed one another down, the limit is not raised for this time. */
   private static final long GROWTH_PAUSE_MILLIS = 120_000;
@@ -48,8 +53,8 @@
   private final int maxParallelLoads;
   private final long windowMillis;
   private final Deque<Long> startTimesMillis = new ArrayDeque<>();
-  private final Map<String, Load> loadByServer = new LinkedHashMap<>();
-  private final List<Load> untrackedLoads = new ArrayList<>();
+  private final Map<String, StoreLoad> loadByServer = new LinkedHashMap<>();
+  private final List<StoreLoad> untrackedLoads = new ArrayList<>();
   private int parallelLoads;
 
   /** Number of parallel loads that were seen to run at full speed; at most the estimate. */
@@ -60,37 +65,6 @@
   private long occupancyUpdatedMillis;
   private double totalLoadMillis;
 
-  /**
-   * A load in flight.
-   *
-   * @param server the server that loads
-   * @param startMillis monotonic time of its start
-   * @param uncontendedMillis its duration without parallel loads
-   * @param parallelAtStart number of loads in flight when it started, with itself
-   * @param explained whether all loads in flight at its start were known
-   * @param totalLoadMillisAtStart accumulated time of all loads up to its start
-   * @param lastSeenMillis monotonic time at which its server was last seen to load
-   */
-  private record Load(
-      String server,
-      long startMillis,
-      long uncontendedMillis,
-      int parallelAtStart,
-      boolean explained,
-      double totalLoadMillisAtStart,
-      long lastSeenMillis) {
-    private Load seenAt(long nowMillis) {
-      return new Load(
-          server,
-          startMillis,
-          uncontendedMillis,
-          parallelAtStart,
-          explained,
-          totalLoadMillisAtStart,
-          nowMillis);
-    }
-  }
-
   /**
    * Creates a limiter.
    *
@@ -114,7 +88,7 @@
   public void onStarted(String server, long uncontendedMillis, long nowMillis) {
     onUntracked(server, nowMillis);
     startTimesMillis.addLast(nowMillis);
-    track(server, uncontendedMillis, nowMillis);
+    track(server, uncontendedMillis, false, nowMillis);
   }
 
   /**
@@ -125,28 +99,34 @@
    */
   public void onAccepted(String server, long nowMillis) {
     advance(nowMillis);
-    Load load = loadByServer.remove(server);
+    StoreLoad load = loadByServer.remove(server);
     if (load != null) {
-      track(server, load.uncontendedMillis(), nowMillis);
+      track(server, load.uncontendedMillis(), true, nowMillis);
     }
   }
 
-  private void track(String server, long uncontendedMillis, long nowMillis) {
-    boolean explained =
-        unknownLoads == 0 && untrackedLoads.stream().allMatch(load -> isInFlight(load, nowMillis));
+  private void track(String server, long uncontendedMillis, boolean accepted, long nowMillis) {
+    boolean explained = areLoadsExplained(nowMillis);
     int parallelAtStart = runningLoads(nowMillis) + 1;
     loadByServer.put(
         server,
-        new Load(
+        new StoreLoad(
             server,
             nowMillis,
             uncontendedMillis,
             parallelAtStart,
+            accepted,
             explained,
             totalLoadMillis,
             nowMillis));
   }
 
+  /** Returns whether all loads that the store may serve are known. */
+  private boolean areLoadsExplained(long nowMillis) {
+    return unknownLoads == 0
+        && untrackedLoads.stream().allMatch(load -> isInFlight(load, nowMillis));
+  }
+
   /**
    * Records how many servers may run a load that this limiter has not been told of.
    *
@@ -167,7 +147,7 @@
    */
   public void onProgress(String server, long nowMillis) {
     advance(nowMillis);
-    Load load = loadByServer.computeIfPresent(server, (s, before) -> before.seenAt(nowMillis));
+    StoreLoad load = loadByServer.computeIfPresent(server, (s, before) -> before.seenAt(nowMillis));
     // Its server is slow if the store was seen to serve as many loads at full speed.
     if (load != null && load.parallelAtStart() > provenParallelLoads) {
       updateParallelLoads(load, nowMillis, false);
@@ -230,7 +210,7 @@
     return new StoreLoadState(loads, provenParallelLoads, growthAllowedFromMillis);
   }
 
-  private static StoreLoadState.LoadInFlight inFlight(Load load) {
+  private static StoreLoadState.LoadInFlight inFlight(StoreLoad load) {
     return new StoreLoadState.LoadInFlight(
         load.server(), load.startMillis(), load.uncontendedMillis(), load.parallelAtStart());
   }
@@ -247,11 +227,12 @@
     untrackedLoads.clear();
     for (StoreLoadState.LoadInFlight load : state.loads()) {
       untrackedLoads.add(
-          new Load(
+          new StoreLoad(
               load.server(),
               load.startMillis(),
               load.uncontendedMillis(),
               Math.max(1, load.parallelAtStart()),
+              true,
               false,
               totalLoadMillis,
               load.startMillis()));
@@ -262,7 +243,7 @@
         Math.min(nowMillis + GROWTH_PAUSE_MILLIS, state.growthAllowedFromMillis());
   }
 
-  private void updateParallelLoads(Load load, long nowMillis, boolean done) {
+  private void updateParallelLoads(StoreLoad load, long nowMillis, boolean done) {
     if (!load.explained()) {
       return;
     }
@@ -297,9 +278,10 @@
 
   private void onFullSpeed(double loads, long nowMillis) {
     provenParallelLoads =
-        Math.max(provenParallelLoads, Math.min(parallelLoads, (int) Math.floor(loads)));
+        Math.max(provenParallelLoads, Math.min(parallelLoads, (int) Math.round(loads)));
     if (loads > parallelLoads - 1 && nowMillis >= growthAllowedFromMillis) {
-      parallelLoads = Math.min(maxParallelLoads, GROWTH_FACTOR * parallelLoads);
+      int grown = Math.max(parallelLoads + 1, (int) (GROWTH_FACTOR * parallelLoads));
+      parallelLoads = Math.min(maxParallelLoads, grown);
     }
   }
 
@@ -308,7 +290,7 @@
     totalLoadMillis +=
         (double) runningLoads(nowMillis) * Math.max(0, nowMillis - occupancyUpdatedMillis);
     occupancyUpdatedMillis = nowMillis;
-    untrackedLoads.removeIf(load -> nowMillis >= latestEndMillis(load));
+    untrackedLoads.removeIf(load -> nowMillis >= load.latestEndMillis());
   }
 
   /** Returns the number of loads that may be in flight. */
@@ -322,32 +304,30 @@
   }
 
   /** A load that takes longer is not in flight any more: its server does not complete it. */
-  private double maxTrackedMillis(Load load) {
-    return SERVER_FAULT_RATIO * expectedMillis(load, parallelLoads);
-  }
-
-  private boolean isInFlight(Load untracked, long nowMillis) {
-    return nowMillis - untracked.startMillis() < expectedMillis(untracked, provenParallelLoads);
+  private double maxTrackedMillis(StoreLoad load) {
+    return SERVER_FAULT_RATIO * load.expectedMillis(parallelLoads);
   }
 
-  /** Returns the time at which a load has ended even if the store serves one load at full speed. */
-  private static long latestEndMillis(Load load) {
-    return load.startMillis() + load.uncontendedMillis() * load.parallelAtStart();
+  private boolean isInFlight(StoreLoad untracked, long nowMillis) {
+    return nowMillis - untracked.startMillis() < untracked.expectedMillis(provenParallelLoads);
   }
 
-  private static long expectedMillis(Load load, int fullSpeedLoads) {
-    double slowdown = Math.max(1, (double) load.parallelAtStart() / fullSpeedLoads);
-    return Math.round(load.uncontendedMillis() * slowdown);
+  /** Returns the number of parallel loads that were seen to run at full speed. */
+  public int provenParallelLoads() {
+    return provenParallelLoads;
   }
 
-  /** Returns the estimated number of parallel loads that run at full speed. */
+  /**
+   * Returns the estimated number of parallel loads that run at full speed, which may be higher than
+   * the number that was seen.
+   */
   public int parallelLoads() {
     return parallelLoads;
   }
 
   /** Returns the expected duration of the load in flight on a server, in milliseconds. */
   public long expectedMillis(String server) {
-    return expectedMillis(loadByServer.get(server), parallelLoads);
+    return loadByServer.get(server).expectedMillis(parallelLoads);
   }
 
   /**
@@ -362,23 +342,41 @@
       startTimesMillis.pollFirst();
     }
     int allowedByRate = loadsPerWindow(loadsPerSecond) - startTimesMillis.size();
-    return Math.max(0, Math.min(parallelLoads - runningLoads(nowMillis), allowedByRate));
+    return Math.max(0, Math.min(roomForLoads(nowMillis), allowedByRate));
+  }
+
+  /**
+   * Returns how many more loads the store has room for: up to the number that was seen at full
+   * speed, and beyond it one step at a time, whose durations show whether the store serves more. A
+   * step waits until the loads before it have begun, so that it is known which loads are beyond.
+   */
+  private int roomForLoads(long nowMillis) {
+    int running = runningLoads(nowMillis);
+    if (running < provenParallelLoads) {
+      return provenParallelLoads - running;
+    }
+    boolean stepAllowed =
+        areLoadsExplained(nowMillis)
+            && loadByServer.values().stream().allMatch(StoreLoad::accepted)
+            && Stream.concat(loadByServer.values().stream(), untrackedLoads.stream())
+                .noneMatch(load -> load.parallelAtStart() > provenParallelLoads);
+    return stepAllowed ? parallelLoads - running : 0;
   }
 
   /** Returns the monotonic time from which a further load is expected to run at full speed. */
   public long nextFreeMillis(long nowMillis) {
-    int loadsToEnd = runningLoads(nowMillis) - parallelLoads + 1;
+    int loadsToEnd = runningLoads(nowMillis) - provenParallelLoads + 1;
     if (loadsToEnd <= unknownLoads) {
       return nowMillis;
     }
     LongStream trackedEndsMillis =
         loadByServer.values().stream()
             .filter(load -> nowMillis - load.startMillis() < maxTrackedMillis(load))
-            .mapToLong(load -> load.startMillis() + expectedMillis(load, parallelLoads));
+            .mapToLong(load -> load.startMillis() + load.expectedMillis(parallelLoads));
     LongStream untrackedEndsMillis =
         untrackedLoads.stream()
             .filter(load -> isInFlight(load, nowMillis))
-            .mapToLong(load -> load.startMillis() + expectedMillis(load, provenParallelLoads));
+            .mapToLong(load -> load.startMillis() + load.expectedMillis(provenParallelLoads));
     return LongStream.concat(trackedEndsMillis, untrackedEndsMillis)
         .map(endMillis -> Math.max(nowMillis, endMillis))
         .sorted()
--- a/node/src/main/java/io/nutmegseam/node/gateway/OrderControl.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/OrderControl.java
@@ -153,7 +153,7 @@
     StoreCapacity capacity =
         new StoreCapacity(
             dependencies.storeLoads().allowedLoads(engine.storeLoadsPerSecond(), nowMillis),
-            dependencies.storeLoads().parallelLoads(),
+            dependencies.storeLoads().provenParallelLoads(),
             dependencies.storeLoads().nextFreeMillis(nowMillis));
     storeLoadLog.onRound(
         service, dependencies.storeLoads().runningLoads(nowMillis), unknownLoads, capacity);
