--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
@@ -199,7 +199,9 @@
     if (reach != ServerReach.Reach.FULL) {
       traffic.peers().connectMore();
     }
-    state.setReach(reach, traffic.peers().isAvailable());
+    boolean peerAvailable = traffic.peers().isAvailable();
+    state.setReach(reach, peerAvailable);
+    state.setMaySendOrders(!traffic.reach().isUnfitForOrders() || !peerAvailable);
   }
 
   private BufferedHttpClient createHttpClient(ServerConnectionPools pools) {
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayState.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayState.java
@@ -92,7 +92,11 @@
   void setReach(ServerReach.Reach reach, boolean peerAvailable) {
     reachesServers = reach == ServerReach.Reach.FULL;
     servesRequests = reach != ServerReach.Reach.NONE || peerAvailable;
-    maySendOrders = reachesServers || !peerAvailable;
+  }
+
+  /** Publishes whether this node is fit to send orders, or no other node that it knows is. */
+  void setMaySendOrders(boolean next) {
+    maySendOrders = next;
   }
 
   /** Returns whether the node reaches most servers. */
@@ -100,7 +104,7 @@
     return reachesServers;
   }
 
-  /** Returns whether the node reaches servers, or no other node that it knows does. */
+  /** Returns whether the node is fit to send orders, or no other node that it knows is. */
   boolean maySendOrders() {
     return maySendOrders;
   }
--- a/node/src/main/java/io/nutmegseam/node/gateway/ServerReach.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/ServerReach.java
@@ -26,6 +26,12 @@
   /** Interval at which a node that reaches some servers looks again at the earliest. */
   private static final long RECHECK_MILLIS = 1_000;
 
+  /**
+   * Longer than a server that has crashed stays listed. Servers that a node does not reach for
+   * longer are up, and the node is cut off from them.
+   */
+  private static final long LISTING_DELAY_MILLIS = 4_000;
+
   /** A node that does not reach more than this share of a sample is impaired. */
   private static final double IMPAIRED_SHARE = 0.5;
 
@@ -42,6 +48,7 @@
   private Reach reach = Reach.FULL;
   private boolean checking;
   private long checkedMillis = Long.MIN_VALUE / 2;
+  private long impairedSinceMillis = Long.MAX_VALUE;
 
   /** Which servers this node reaches. */
   enum Reach {
@@ -143,6 +150,14 @@
     return reach == Reach.NONE;
   }
 
+  /**
+   * Returns whether another node is to send orders to servers: this one reaches none, or has
+   * reached less than half for longer than crashed servers stay listed.
+   */
+  boolean isUnfitForOrders() {
+    return isCutOff() || clock.millis() - LISTING_DELAY_MILLIS >= impairedSinceMillis;
+  }
+
   /** Handles a connection that could not be opened, or a server that does not respond. */
   void onFailed() {
     if (reach == Reach.FULL && clock.millis() - checkedMillis >= RECHECK_MILLIS) {
@@ -166,6 +181,11 @@
     Reach before = reach;
     reach = reachOf(failed / (double) sample.size());
     if (reach != before) {
+      if (before == Reach.FULL) {
+        impairedSinceMillis = clock.millis();
+      } else if (reach == Reach.FULL) {
+        impairedSinceMillis = Long.MAX_VALUE;
+      }
       events.record(
           reach == Reach.FULL ? EventKind.SERVERS_BACK : EventKind.SERVERS_OUT,
           reach.name(),
