--- a/node/src/main/java/io/nutmegseam/node/gateway/CallerConnection.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/CallerConnection.java
@@ -223,7 +223,7 @@
     if (pipelined.size() > MAX_PIPELINED) {
       channelContext.close();
     } else if (exchange == null) {
-      startNext();
+      context.lag().runAfterRead(this::startNextIfIdle);
     }
   }
 
--- a/node/src/main/java/io/nutmegseam/node/gateway/TrafficContext.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/TrafficContext.java
@@ -11,6 +11,7 @@
  * Dependencies shared by all requests. Confined to the traffic thread, except for the state.
  *
  * @param loop the traffic thread
+ * @param lag whether the traffic thread runs late
  * @param clock monotonic clock
  * @param headers names of the headers
  * @param state state published by the control thread
@@ -33,6 +34,7 @@
  */
 record TrafficContext(
     EventLoop loop,
+    TrafficLag lag,
     InstantSource clock,
     GatewayHeaders headers,
     GatewayState state,
--- a/node/src/main/java/io/nutmegseam/node/gateway/TrafficContextFactory.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/TrafficContextFactory.java
@@ -57,6 +57,7 @@
         (server, onOutcome) -> pools.pool(server.host(), server.port()).probe(onOutcome);
     return new TrafficContext(
         dependencies.loop(),
+        createLag(),
         clock,
         dependencies.headers(),
         dependencies.state(),
@@ -88,6 +89,12 @@
         dependencies.metrics());
   }
 
+  private TrafficLag createLag() {
+    TrafficLag lag = new TrafficLag(dependencies.clock(), dependencies.loop(), timer);
+    dependencies.loop().execute(lag::start);
+    return lag;
+  }
+
   private ServerReach createReach(ServerReach.Prober prober) {
     return new ServerReach(
         dependencies.state(),
--- a/node/src/test/java/io/nutmegseam/node/gateway/TestGateway.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/TestGateway.java
@@ -81,6 +81,7 @@
     context =
         new TrafficContext(
             loop,
+            new TrafficLag(clock, loop, this::schedule),
             clock,
             HEADERS,
             state,
@@ -128,6 +129,7 @@
             new ArrivalCounts(),
             (kind, subject, detail) -> {},
             new GatewayMetrics());
+    loop.execute(context.lag()::start);
     HostPort address = ports.next();
     port = address.port();
     new GatewayServer(group, context).listen(address);
--- a/node/src/test/java/io/nutmegseam/node/gateway/UnusedPermitTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/UnusedPermitTest.java
@@ -139,6 +139,7 @@
   private static TrafficContext withQuotas(TrafficContext context, SendQuotas quotas) {
     return new TrafficContext(
         context.loop(),
+        context.lag(),
         context.clock(),
         context.headers(),
         context.state(),
