--- a/core/src/main/java/io/nutmegseam/core/orders/OrderTracker.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/OrderTracker.java
@@ -60,7 +60,9 @@
     SENT,
     ACCEPTED,
     REFUSED,
+    /** Sent without a response; a report has to show what became of it. */
     UNANSWERED,
+    /** Not accepted by the time of the last report; to be sent again. */
     RETRY
   }
 
--- a/core/src/main/java/io/nutmegseam/core/orders/StoreLoadLimiter.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/StoreLoadLimiter.java
@@ -38,10 +38,7 @@
   /** Limit of parallel loads until the first estimate. */
   private static final int INITIAL_PARALLEL_LOADS = 2;
 
-  /**
-   * Each step beyond the number that was seen at full speed. A store that is full already serves
-   * the loads of a step slower, so a step adds few of them.
-   */
+  /** Growth of the estimate with each step; a store that is full slows the added loads down. */
   private static final double GROWTH_FACTOR = 1.5;
 
   /** After loads slowed one another down, the limit is not raised for this time. */
@@ -55,6 +52,8 @@
   private final Deque<Long> startTimesMillis = new ArrayDeque<>();
   private final Map<String, StoreLoad> loadByServer = new LinkedHashMap<>();
   private final List<StoreLoad> untrackedLoads = new ArrayList<>();
+
+  /** Number of parallel loads that the next step tries. */
   private int parallelLoads;
 
   /** Number of parallel loads that were seen to run at full speed; at most the estimate. */
--- a/node/src/main/java/io/nutmegseam/node/gateway/OrderControl.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/OrderControl.java
@@ -216,22 +216,24 @@
   /** Records the progress of a store load as a report of its server shows it. */
   private void observeStoreLoad(
       ModelOrder order, OrderTracker tracker, boolean wasAccepted, long nowMillis) {
+    String server = order.server().toString();
+    if (tracker.isAccepted() && wasAccepted) {
+      dependencies.storeLoads().onProgress(server, nowMillis);
+    } else if (tracker.isAccepted()) {
+      dependencies.storeLoads().onAccepted(server, nowMillis);
+    } else if (tracker.pending().isEmpty()) {
+      onStoreLoadEnded(order, tracker.inventory(), nowMillis);
+    }
+  }
+
+  /** Records the end of a store load, or of its order, with the inventory that shows it. */
+  private void onStoreLoadEnded(ModelOrder order, Inventory inventory, long nowMillis) {
     StoreLoadLimiter storeLoads = dependencies.storeLoads();
     String server = order.server().toString();
-    boolean busy = tracker.inventory().busy();
-    if (tracker.isAccepted()) {
-      if (wasAccepted) {
-        storeLoads.onProgress(server, nowMillis);
-      } else {
-        storeLoads.onAccepted(server, nowMillis);
-      }
-    } else if (tracker.pending().isPresent()) {
-      // The server has not accepted the order yet.
-      return;
-    } else if (tracker.inventory().hasLoaded(order.ref())) {
+    if (inventory.hasLoaded(order.ref())) {
       storeLoads.onDone(server, nowMillis);
-    } else if (busy) {
-      // An order without response that the server has accepted.
+    } else if (inventory.busy()) {
+      // The server may carry out this order, or another one.
       storeLoads.onUntracked(server, nowMillis);
     } else {
       storeLoads.onNotLoaded(server, nowMillis);
