--- a/node/src/test/java/io/nutmegseam/node/gateway/TrafficLagTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/TrafficLagTest.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -77,8 +78,15 @@
     }
 
     private void makeThreadBusy() throws InterruptedException {
-      gateway.loop().execute(() -> sleep(BUSY_MILLIS));
-      Thread.sleep(50);
+      CountDownLatch busy = new CountDownLatch(1);
+      gateway
+          .loop()
+          .execute(
+              () -> {
+                busy.countDown();
+                sleep(BUSY_MILLIS);
+              });
+      busy.await();
     }
 
     private void send(Socket caller, String id) throws IOException {
