--- a/node/src/main/java/io/nutmegseam/node/gateway/OrderControl.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/OrderControl.java
@@ -21,6 +21,7 @@
 import io.nutmegseam.core.orders.ServiceSnapshot;
 import io.nutmegseam.core.orders.StoreCapacity;
 import io.nutmegseam.core.orders.StoreLoadLimiter;
+import io.nutmegseam.core.orders.StoreLoadObserver;
 import io.nutmegseam.core.orders.SwapPlanner;
 import io.nutmegseam.node.control.ControlThread;
 import io.nutmegseam.node.rows.CallException;
@@ -47,6 +48,7 @@
   private final Map<String, SwapPlanner> plannerByService = new HashMap<>();
   private final Map<String, DeferredLoadLog> deferredLoadLogByService = new HashMap<>();
   private final StoreLoadLog storeLoadLog;
+  private final StoreLoadObserver observer;
   private final ServerArrivals arrivals = new ServerArrivals();
   private final Map<Incarnation, OrderTracker> trackerByServer = new HashMap<>();
   private final Map<Incarnation, Long> inventoryRequestedMillis = new HashMap<>();
@@ -79,6 +81,7 @@
     this.clock = dependencies.clock();
     this.events = dependencies.events();
     this.storeLoadLog = new StoreLoadLog(clock, events);
+    this.observer = new StoreLoadObserver(dependencies.storeLoads());
     this.fleetUpdateSink = fleetUpdateSink;
   }
 
@@ -213,33 +216,6 @@
     return nowMillis - engine.longestStoreLoadMillis() < lastBeginMillis;
   }
 
-  /** Records the progress of a store load as a report of its server shows it. */
-  private void observeStoreLoad(
-      ModelOrder order, OrderTracker tracker, boolean wasAccepted, long nowMillis) {
-    String server = order.server().toString();
-    if (tracker.isAccepted() && wasAccepted) {
-      dependencies.storeLoads().onProgress(server, nowMillis);
-    } else if (tracker.isAccepted()) {
-      dependencies.storeLoads().onAccepted(server, nowMillis);
-    } else if (tracker.pending().isEmpty()) {
-      onStoreLoadEnded(order, tracker.inventory(), nowMillis);
-    }
-  }
-
-  /** Records the end of a store load, or of its order, with the inventory that shows it. */
-  private void onStoreLoadEnded(ModelOrder order, Inventory inventory, long nowMillis) {
-    StoreLoadLimiter storeLoads = dependencies.storeLoads();
-    String server = order.server().toString();
-    if (inventory.hasLoaded(order.ref())) {
-      storeLoads.onDone(server, nowMillis);
-    } else if (inventory.busy()) {
-      // The server may carry out this order, or another one.
-      storeLoads.onUntracked(server, nowMillis);
-    } else {
-      storeLoads.onNotLoaded(server, nowMillis);
-    }
-  }
-
   private void send(ModelOrder order, EngineSpec engine, ServerEntry entry) {
     OrderTracker tracker = trackerByServer.get(order.server());
     long nowMillis = clock.millis();
@@ -350,7 +326,7 @@
     tracker.onReport(InventoryMerger.merge(inventory, tracker.inventory()), clock.millis());
     before
         .filter(order -> order.isStoreLoad() && isTracked(tracker, order))
-        .ifPresent(order -> observeStoreLoad(order, tracker, wasAccepted, clock.millis()));
+        .ifPresent(order -> observer.onReport(order, tracker, wasAccepted, clock.millis()));
     logSettled(before, tracker, entry.incarnation());
   }
 
