--- a/core/src/main/java/io/nutmegseam/core/orders/OrderTracker.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/OrderTracker.java
@@ -46,6 +46,10 @@
   private boolean earlierOrderMayArrive;
 
   private boolean responds = true;
+
+  /** The order count of the server when the last order was first sent. */
+  private long sentOrderCount;
+
   private long sentMillis;
   private long firstSentMillis;
   private long expectedDurationMillis;
@@ -118,6 +122,14 @@
     return phase == Phase.ACCEPTED;
   }
 
+  /**
+   * Returns whether the server may have begun to carry out the last order: it has accepted an order
+   * since that one was first sent.
+   */
+  boolean mayHaveBegun() {
+    return inventory.orderCount() > sentOrderCount;
+  }
+
   /** Returns the monotonic time at which the pending order was last sent. */
   public long pendingSentMillis() {
     return sentMillis;
@@ -154,6 +166,7 @@
       applyToInventory(pendingOrder);
     }
     pendingOrder = sent;
+    sentOrderCount = inventory.orderCount();
     outcomeUnknown = false;
     earlierOrderMayArrive = nowMillis < lateDeliveryUntilMillis;
     phase = Phase.SENT;
--- a/core/src/main/java/io/nutmegseam/core/orders/StoreLoadObserver.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/StoreLoadObserver.java
@@ -1,7 +1,5 @@
 package io.nutmegseam.core.orders;
 
-import io.nutmegseam.core.fleet.Inventory;
-
 /**
  * Tells the limiter of the weight store what the reports of servers show of the loads that were
  * ordered. Confined to one thread.
@@ -34,17 +32,20 @@
     } else if (tracker.isAccepted()) {
       storeLoads.onAccepted(server, nowMillis);
     } else if (tracker.pending().isEmpty()) {
-      onEnded(order, tracker.inventory(), nowMillis);
+      onEnded(order, tracker, nowMillis);
     }
   }
 
-  /** Records the end of a load, or of its order, with the inventory that shows it. */
-  private void onEnded(ModelOrder order, Inventory inventory, long nowMillis) {
+  /**
+   * Records the end of a load, or of its order, with the inventory that shows it. A busy server
+   * whose order count has not risen carries out an earlier order.
+   */
+  private void onEnded(ModelOrder order, OrderTracker tracker, long nowMillis) {
     String server = order.server().toString();
-    if (inventory.hasLoaded(order.ref())) {
+    if (tracker.inventory().hasLoaded(order.ref())) {
       storeLoads.onDone(server, nowMillis);
-    } else if (inventory.busy()) {
-      // The server may carry out this order, or another one.
+    } else if (tracker.inventory().busy() && tracker.mayHaveBegun()) {
+      // The server carries out this order, or another one.
       storeLoads.onUntracked(server, nowMillis);
     } else {
       storeLoads.onNotLoaded(server, nowMillis);
