--- a/core/src/main/java/io/nutmegseam/core/orders/StoreLoadLimiter.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/StoreLoadLimiter.java
@@ -20,6 +20,9 @@
  * thread.
  */
 public final class StoreLoadLimiter {
+  /** The reports of a server that loads show it at least this often. */
+  private static final long MAX_SILENCE_MILLIS = 1_000;
+
   private final long windowMillis;
   private final Deque<Long> startTimesMillis = new ArrayDeque<>();
   private final Map<String, StoreLoad> loadByServer = new LinkedHashMap<>();
@@ -86,6 +89,7 @@
   /** Returns whether all loads that the store may serve are known. */
   private boolean areLoadsExplained(long nowMillis) {
     return unknownLoads == 0
+        && loadByServer.values().stream().noneMatch(load -> isSilentPastEnd(load, nowMillis))
         && untrackedLoads.stream().allMatch(load -> isInFlight(load, nowMillis));
   }
 
@@ -222,13 +226,25 @@
   /** Returns the number of loads that may be in flight. */
   public int runningLoads(long nowMillis) {
     long tracked =
-        loadByServer.values().stream()
-            .filter(load -> nowMillis - load.startMillis() < maxTrackedMillis(load))
-            .count();
+        loadByServer.values().stream().filter(load -> isTrackedInFlight(load, nowMillis)).count();
     long untracked = untrackedLoads.stream().filter(load -> isInFlight(load, nowMillis)).count();
     return (int) (tracked + untracked) + unknownLoads;
   }
 
+  private boolean isTrackedInFlight(StoreLoad load, long nowMillis) {
+    return nowMillis - load.startMillis() < maxTrackedMillis(load)
+        && !isSilentPastEnd(load, nowMillis);
+  }
+
+  /**
+   * Returns whether a load should have ended and its server does not say that it goes on. The
+   * server may be gone, but the store is done with the load.
+   */
+  private boolean isSilentPastEnd(StoreLoad load, long nowMillis) {
+    long endMillis = load.startMillis() + load.expectedMillis(estimate.provenParallelLoads());
+    return nowMillis > Math.max(endMillis, load.lastSeenMillis()) + MAX_SILENCE_MILLIS;
+  }
+
   /** A load that takes longer is not in flight any more: its server does not complete it. */
   private double maxTrackedMillis(StoreLoad load) {
     return ParallelLoadEstimate.SERVER_FAULT_RATIO * load.expectedMillis(estimate.parallelLoads());
@@ -312,7 +328,7 @@
     }
     LongStream trackedEndsMillis =
         loadByServer.values().stream()
-            .filter(load -> nowMillis - load.startMillis() < maxTrackedMillis(load))
+            .filter(load -> isTrackedInFlight(load, nowMillis))
             .mapToLong(load -> load.startMillis() + load.expectedMillis(estimate.parallelLoads()));
     LongStream untrackedEndsMillis =
         untrackedLoads.stream()
