--- a/core/src/main/java/io/nutmegseam/core/orders/EvictionChooser.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/EvictionChooser.java
@@ -20,7 +20,7 @@
       ServiceSnapshot snapshot, ServerOrderState server, String forModel, boolean urgent) {
     return server.entry().inventory().adaptersByModel().keySet().stream()
         .filter(model -> !model.equals(forModel) && !server.isUnloading(model))
-        .filter(model -> isEvictable(snapshot, model, urgent))
+        .filter(model -> isEvictable(snapshot, server, model, urgent))
         .min(
             Comparator.<String>comparingDouble(
                     model -> evictionCostMillisPerSecond(snapshot, server, model))
@@ -34,7 +34,7 @@
     for (var loaded : server.entry().inventory().adaptersByModel().entrySet()) {
       boolean isCandidate =
           !loaded.getKey().equals(forModel) && !server.isUnloading(loaded.getKey());
-      if (isCandidate && isEvictable(snapshot, loaded.getKey(), urgent)) {
+      if (isCandidate && isEvictable(snapshot, server, loaded.getKey(), urgent)) {
         total +=
             MemoryUse.loadedMegabytes(snapshot.engine(), loaded.getKey(), loaded.getValue().size());
       }
@@ -48,7 +48,11 @@
    * the present demand: a server may have the only copy of the urgent model and serve models in
    * high demand for as long as that lasts, while those can have their replica on another server.
    */
-  private static boolean isEvictable(ServiceSnapshot snapshot, String model, boolean urgent) {
+  private static boolean isEvictable(
+      ServiceSnapshot snapshot, ServerOrderState server, String model, boolean urgent) {
+    if (snapshot.isKept(server.id(), model)) {
+      return false;
+    }
     ModelDemand demand = snapshot.totalDemand(model);
     int replicas = snapshot.servingReplicas(model);
     int slots = snapshot.engine().slots();
--- a/core/src/main/java/io/nutmegseam/core/orders/ServiceSnapshot.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/ServiceSnapshot.java
@@ -19,6 +19,7 @@
   private final Map<ModelRef, ModelDemand> demandByModel;
   private final StoreCapacity storeCapacity;
   private final long nowMillis;
+  private final Map<String, Set<String>> keptModelsByServer;
   private final Map<String, ServerOrderState> serverById = new HashMap<>();
   private final Map<String, ModelDemand> totalByModel = new HashMap<>();
   private final Map<String, Integer> servingReplicasByModel = new HashMap<>();
@@ -40,11 +41,22 @@
       Map<ModelRef, ModelDemand> demandByModel,
       StoreCapacity storeCapacity,
       long nowMillis) {
+    this(engine, servers, demandByModel, storeCapacity, nowMillis, Map.of());
+  }
+
+  private ServiceSnapshot(
+      EngineSpec engine,
+      List<ServerOrderState> servers,
+      Map<ModelRef, ModelDemand> demandByModel,
+      StoreCapacity storeCapacity,
+      long nowMillis,
+      Map<String, Set<String>> keptModelsByServer) {
     this.engine = engine;
     this.servers = List.copyOf(servers);
     this.demandByModel = Map.copyOf(demandByModel);
     this.storeCapacity = storeCapacity;
     this.nowMillis = nowMillis;
+    this.keptModelsByServer = Map.copyOf(keptModelsByServer);
     demandByModel.forEach(
         (ref, demand) -> totalByModel.merge(ref.model(), demand, ModelDemand::plus));
     servers.forEach(this::addToTotals);
@@ -73,6 +85,19 @@
     }
   }
 
+  /** Returns this snapshot with the models that each server must not evict. */
+  ServiceSnapshot withKeptModels(Map<String, Set<String>> modelsByServer) {
+    return modelsByServer.isEmpty()
+        ? this
+        : new ServiceSnapshot(
+            engine, servers, demandByModel, storeCapacity, nowMillis, modelsByServer);
+  }
+
+  /** Returns whether a server must not evict a model. */
+  boolean isKept(String serverId, String model) {
+    return keptModelsByServer.getOrDefault(serverId, Set.of()).contains(model);
+  }
+
   /** Returns the model engine of the service. */
   public EngineSpec engine() {
     return engine;
--- a/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
@@ -35,12 +35,15 @@
 
   private final UnservedModels unservedModels = new UnservedModels();
   private final StoreQueue storeQueue = new StoreQueue(unservedModels);
+  private final UnusedStoreLoads unusedStoreLoads = new UnusedStoreLoads();
 
   /** Whether the last load from the weight store was for a model that was served already. */
   private boolean firstCopyIsNext;
 
   /** Plans one round for the service of a snapshot. */
-  public RoundPlan plan(ServiceSnapshot snapshot) {
+  public RoundPlan plan(ServiceSnapshot state) {
+    unusedStoreLoads.update(state);
+    ServiceSnapshot snapshot = state.withKeptModels(unusedStoreLoads.modelsByServer());
     unservedModels.update(snapshot);
     storeQueue.update(snapshot);
     Round round = new Round(snapshot);
@@ -65,6 +68,7 @@
   public void reset() {
     serverIdByModel.clear();
     storeQueue.clear();
+    unusedStoreLoads.clear();
     firstCopyIsNext = false;
   }
 
@@ -325,6 +329,9 @@
     private void addNextOrder(String model, ServerOrderState server) {
       ModelSpec spec = snapshot.engine().models().get(model);
       if (MemoryUse.freeMegabytes(snapshot.engine(), server) >= spec.weightsMegabytes()) {
+        if (sourceOn(server, model) == LoadSource.STORE) {
+          unusedStoreLoads.onOrdered(server.id(), model);
+        }
         orders.add(
             new ModelOrder(
                 server.entry().incarnation(),
