--- a/core/src/main/java/io/nutmegseam/core/orders/OrderTracker.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/OrderTracker.java
@@ -1,12 +1,7 @@
 package io.nutmegseam.core.orders;
 
 import io.nutmegseam.core.fleet.Inventory;
-import io.nutmegseam.core.fleet.ModelRef;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 
 /**
  * Tracks the inventory of one server and the order to it whose completion is not confirmed. Each
@@ -163,7 +158,7 @@
   public void onSent(ModelOrder sent, long durationMillis, long nowMillis) {
     followsUnload = isFollowUpAllowed();
     if (followsUnload) {
-      applyToInventory(pendingOrder);
+      inventory = InventoryUpdates.afterOrder(inventory, pendingOrder);
     }
     pendingOrder = sent;
     sentOrderCount = inventory.orderCount();
@@ -177,6 +172,29 @@
     nextStepMillis = Long.MAX_VALUE;
   }
 
+  /**
+   * Continues with a load that an earlier tenure of the order lease ordered; nothing changes if the
+   * server has loaded the model.
+   *
+   * @param order the order of the load
+   * @param load the load
+   * @param nowMillis monotonic time
+   */
+  public void onResumed(ModelOrder order, StoreLoadState.LoadInFlight load, long nowMillis) {
+    if (inventory.hasLoaded(order.ref())) {
+      return;
+    }
+    pendingOrder = order;
+    sentOrderCount = inventory.orderCount() - 1;
+    phase = Phase.ACCEPTED;
+    sentMillis = load.startMillis();
+    firstSentMillis = load.startMillis();
+    expectedDurationMillis = load.uncontendedMillis();
+    dueMillis = load.startMillis() + load.uncontendedMillis();
+    // Only reports tell whether the server carries out this order or another one.
+    nextStepMillis = nowMillis + REPORT_LAG_MILLIS;
+  }
+
   /** Records that the pending order is sent again. */
   public void onResent(long nowMillis) {
     phase = Phase.SENT;
@@ -295,7 +313,7 @@
             && pendingOrder.operation() == ModelOrder.Operation.LOAD
             && !pendingOrder.isStoreLoad();
     if (fastLoad && nowMillis >= dueMillis + LOAD_MARGIN_MILLIS) {
-      applyToInventory(pendingOrder);
+      inventory = InventoryUpdates.afterOrder(inventory, pendingOrder);
       markDone(nowMillis);
       return NextStep.WAIT;
     }
@@ -332,10 +350,10 @@
   private void onAccepted(long nowMillis) {
     phase = Phase.ACCEPTED;
     dueMillis = nowMillis + expectedDurationMillis;
-    inventory = withOrderCount(inventory, inventory.orderCount() + 1);
+    inventory = InventoryUpdates.withNextOrderCount(inventory);
     forgetLateOrders();
     if (pendingOrder.ref().isAdapter()) {
-      applyToInventory(pendingOrder);
+      inventory = InventoryUpdates.afterOrder(inventory, pendingOrder);
       markDone(nowMillis);
     } else {
       nextStepMillis = Math.max(dueMillis, nowMillis + REPORT_LAG_MILLIS);
@@ -346,9 +364,9 @@
     boolean adapterUnload =
         pendingOrder.ref().isAdapter() && pendingOrder.operation() == ModelOrder.Operation.UNLOAD;
     if (adapterUnload) {
-      inventory = withOrderCount(inventory, inventory.orderCount() + 1);
+      inventory = InventoryUpdates.withNextOrderCount(inventory);
       forgetLateOrders();
-      applyToInventory(pendingOrder);
+      inventory = InventoryUpdates.afterOrder(inventory, pendingOrder);
       markDone(nowMillis);
     } else {
       phase = Phase.REFUSED;
@@ -367,36 +385,4 @@
     nextStepMillis = nowMillis;
     verifyAtMillis = nowMillis + VERIFY_DELAY_MILLIS;
   }
-
-  /** Updates the inventory as the completion of an order does. */
-  private void applyToInventory(ModelOrder done) {
-    Map<String, Set<String>> adapters = new HashMap<>();
-    inventory
-        .adaptersByModel()
-        .forEach((model, loaded) -> adapters.put(model, new HashSet<>(loaded)));
-    Set<String> inMemory = new HashSet<>(inventory.inHostMemory());
-    Set<String> onDisk = new HashSet<>(inventory.onDisk());
-    ModelRef ref = done.ref();
-    boolean load = done.operation() == ModelOrder.Operation.LOAD;
-    if (ref.isAdapter()) {
-      Set<String> loaded = adapters.computeIfAbsent(ref.model(), m -> new HashSet<>());
-      if (load) {
-        loaded.add(ref.adapter());
-      } else {
-        loaded.remove(ref.adapter());
-      }
-    } else if (load) {
-      adapters.putIfAbsent(ref.model(), Set.of());
-      inMemory.add(ref.model());
-      onDisk.add(ref.model());
-    } else {
-      adapters.remove(ref.model());
-    }
-    inventory = new Inventory(inventory.orderCount(), false, adapters, inMemory, onDisk);
-  }
-
-  private static Inventory withOrderCount(Inventory from, long count) {
-    return new Inventory(
-        count, from.busy(), from.adaptersByModel(), from.inHostMemory(), from.onDisk());
-  }
 }
--- a/core/src/main/java/io/nutmegseam/core/orders/StoreLoad.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/StoreLoad.java
@@ -4,6 +4,7 @@
  * A load from the weight store that is in flight. Immutable.
  *
  * @param server the server that loads
+ * @param model name of the model
  * @param startMillis monotonic time of its start
  * @param uncontendedMillis its duration without parallel loads
  * @param parallelAtStart number of loads in flight when it started, with itself
@@ -14,6 +15,7 @@
  */
 record StoreLoad(
     String server,
+    String model,
     long startMillis,
     long uncontendedMillis,
     int parallelAtStart,
@@ -25,6 +27,7 @@
   StoreLoad seenAt(long nowMillis) {
     return new StoreLoad(
         server,
+        model,
         startMillis,
         uncontendedMillis,
         parallelAtStart,
--- a/core/src/main/java/io/nutmegseam/core/orders/StoreLoadLimiter.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/StoreLoadLimiter.java
@@ -47,13 +47,14 @@
    * Records that the order of a load is sent.
    *
    * @param server the server that loads
+   * @param model name of the model
    * @param uncontendedMillis duration of the load without parallel loads, in milliseconds
    * @param nowMillis monotonic time
    */
-  public void onStarted(String server, long uncontendedMillis, long nowMillis) {
+  public void onStarted(String server, String model, long uncontendedMillis, long nowMillis) {
     onUntracked(server, nowMillis);
     startTimesMillis.addLast(nowMillis);
-    track(server, uncontendedMillis, false, nowMillis);
+    track(server, model, uncontendedMillis, false, nowMillis);
   }
 
   /**
@@ -66,17 +67,19 @@
     advance(nowMillis);
     StoreLoad load = loadByServer.remove(server);
     if (load != null) {
-      track(server, load.uncontendedMillis(), true, nowMillis);
+      track(server, load.model(), load.uncontendedMillis(), true, nowMillis);
     }
   }
 
-  private void track(String server, long uncontendedMillis, boolean accepted, long nowMillis) {
+  private void track(
+      String server, String model, long uncontendedMillis, boolean accepted, long nowMillis) {
     boolean explained = areLoadsExplained(nowMillis);
     int parallelAtStart = runningLoads(nowMillis) + 1;
     loadByServer.put(
         server,
         new StoreLoad(
             server,
+            model,
             nowMillis,
             uncontendedMillis,
             parallelAtStart,
@@ -155,11 +158,39 @@
     Optional.ofNullable(loadByServer.remove(server)).ifPresent(untrackedLoads::add);
   }
 
+  /**
+   * Records that the end of a load will be observed again, after {@link #onUntracked}: its server
+   * reports to the node that orders loads now.
+   *
+   * @param server the server that loads
+   * @param nowMillis monotonic time
+   */
+  public void onTracked(String server, long nowMillis) {
+    advance(nowMillis);
+    findUntracked(server, nowMillis)
+        .ifPresent(
+            load -> {
+              untrackedLoads.remove(load);
+              loadByServer.put(server, load);
+            });
+  }
+
+  /**
+   * Returns the load in flight on a server whose end is not observed, or empty if there is none.
+   */
+  public Optional<StoreLoadState.LoadInFlight> untrackedLoad(String server, long nowMillis) {
+    return findUntracked(server, nowMillis).map(StoreLoadLimiter::inFlight);
+  }
+
+  private Optional<StoreLoad> findUntracked(String server, long nowMillis) {
+    return untrackedLoads.stream()
+        .filter(load -> load.server().equals(server) && isInFlight(load, nowMillis))
+        .findFirst();
+  }
+
   /** Returns whether a load on a server counts as in flight. */
   public boolean isInFlight(String server, long nowMillis) {
-    return loadByServer.containsKey(server)
-        || untrackedLoads.stream()
-            .anyMatch(load -> load.server().equals(server) && isInFlight(load, nowMillis));
+    return loadByServer.containsKey(server) || findUntracked(server, nowMillis).isPresent();
   }
 
   /** Records that the end of no load in flight will be observed. */
@@ -179,7 +210,11 @@
 
   private static StoreLoadState.LoadInFlight inFlight(StoreLoad load) {
     return new StoreLoadState.LoadInFlight(
-        load.server(), load.startMillis(), load.uncontendedMillis(), load.parallelAtStart());
+        load.server(),
+        load.model(),
+        load.startMillis(),
+        load.uncontendedMillis(),
+        load.parallelAtStart());
   }
 
   /**
@@ -196,6 +231,7 @@
       untrackedLoads.add(
           new StoreLoad(
               load.server(),
+              load.model(),
               load.startMillis(),
               load.uncontendedMillis(),
               Math.max(1, load.parallelAtStart()),
--- a/core/src/main/java/io/nutmegseam/core/orders/StoreLoadState.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/StoreLoadState.java
@@ -15,12 +15,13 @@
    * A load in flight.
    *
    * @param server the server that loads
+   * @param model name of the model; empty if the holder was of a build that does not tell
    * @param startMillis monotonic time of its start
    * @param uncontendedMillis its duration without parallel loads
    * @param parallelAtStart number of loads in flight when it started, with itself
    */
   public record LoadInFlight(
-      String server, long startMillis, long uncontendedMillis, int parallelAtStart) {}
+      String server, String model, long startMillis, long uncontendedMillis, int parallelAtStart) {}
 
   /** Copies the loads. */
   public StoreLoadState {
--- a/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
@@ -341,9 +341,6 @@
     private void addNextOrder(String model, ServerOrderState server) {
       ModelSpec spec = snapshot.engine().models().get(model);
       if (MemoryUse.freeMegabytes(snapshot.engine(), server) >= spec.weightsMegabytes()) {
-        if (sourceOn(server, model) == LoadSource.STORE) {
-          unusedStoreLoads.onOrdered(server.id(), model);
-        }
         orders.add(
             new ModelOrder(
                 server.entry().incarnation(),
--- a/core/src/main/java/io/nutmegseam/core/orders/UnusedStoreLoads.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/UnusedStoreLoads.java
@@ -26,13 +26,17 @@
     private static final Load ORDERED = new Load(false, 0, 0);
   }
 
-  /** Records that a server is ordered to load a model from the weight store. */
-  void onOrdered(String serverId, String model) {
-    loadByReplica.put(new Replica(serverId, model), Load.ORDERED);
-  }
-
-  /** Applies the loaded models and the demand of a planning round. */
+  /** Applies the loads, the loaded models and the demand of a planning round. */
   void update(ServiceSnapshot snapshot) {
+    snapshot
+        .servers()
+        .forEach(
+            server ->
+                server
+                    .pending()
+                    .filter(ModelOrder::isStoreLoad)
+                    .map(order -> new Replica(server.id(), order.ref().model()))
+                    .ifPresent(replica -> loadByReplica.putIfAbsent(replica, Load.ORDERED)));
     loadByReplica
         .entrySet()
         .removeIf(entry -> isUsedOrGone(entry.getKey(), entry.getValue(), snapshot));
--- a/node/src/main/java/io/nutmegseam/node/gateway/OrderControl.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/OrderControl.java
@@ -186,7 +186,8 @@
   private ServerOrderState orderState(ServerEntry entry, long nowMillis) {
     Incarnation server = entry.incarnation();
     OrderTracker tracker =
-        trackerByServer.getOrDefault(server, new OrderTracker(entry.inventory()));
+        Optional.ofNullable(trackerByServer.get(server))
+            .orElseGet(() -> observer.announcedTracker(entry, nowMillis));
     boolean responds = trackerByServer.containsKey(server) && tracker.responds();
     return new ServerOrderState(
         entry.withInventory(tracker.inventory()),
@@ -222,7 +223,7 @@
     long expectedMillis = OrderDurations.expectedMillis(order, engine);
     if (order.isStoreLoad()) {
       String server = order.server().toString();
-      dependencies.storeLoads().onStarted(server, expectedMillis, nowMillis);
+      dependencies.storeLoads().onStarted(server, order.ref().model(), expectedMillis, nowMillis);
       expectedMillis = dependencies.storeLoads().expectedMillis(server);
     }
     tracker.onSent(order, expectedMillis, nowMillis);
@@ -365,12 +366,17 @@
                     .execute(
                         () -> {
                           if (e == null && fence == requestFence) {
-                            trackerByServer.putIfAbsent(
-                                server,
-                                new OrderTracker(
-                                    InventoryMerger.merge(inventory, entry.inventory()),
-                                    inventorySync.startMillis()));
+                            onFirstInventory(
+                                entry, InventoryMerger.merge(inventory, entry.inventory()));
                           }
                         }));
   }
+
+  private void onFirstInventory(ServerEntry entry, Inventory inventory) {
+    trackerByServer.computeIfAbsent(
+        entry.incarnation(),
+        server ->
+            observer.reportedTracker(
+                server, inventory, inventorySync.startMillis(), clock.millis()));
+  }
 }
--- a/node/src/main/java/io/nutmegseam/node/gateway/StoreLoadHandover.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/StoreLoadHandover.java
@@ -28,6 +28,7 @@
   private static final String GROWTH_PAUSE_MILLIS = "growthPauseMillis";
   private static final String LOADS = "loads";
   private static final String SERVER = "server";
+  private static final String MODEL = "model";
   private static final String AGE_MILLIS = "ageMillis";
   private static final String UNCONTENDED_MILLIS = "uncontendedMillis";
   private static final String PARALLEL_AT_START = "parallelAtStart";
@@ -71,6 +72,7 @@
         loads
             .addObject()
             .put(SERVER, load.server())
+            .put(MODEL, load.model())
             .put(AGE_MILLIS, nowMillis - load.startMillis())
             .put(UNCONTENDED_MILLIS, load.uncontendedMillis())
             .put(PARALLEL_AT_START, load.parallelAtStart());
@@ -116,6 +118,7 @@
       loads.add(
           new StoreLoadState.LoadInFlight(
               load.path(SERVER).asText(),
+              load.path(MODEL).asText(),
               writtenMillis - load.path(AGE_MILLIS).asLong(),
               load.path(UNCONTENDED_MILLIS).asLong(),
               load.path(PARALLEL_AT_START).asInt()));
