--- a/core/src/main/java/io/nutmegseam/core/orders/ServiceSnapshot.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/ServiceSnapshot.java
@@ -20,11 +20,11 @@
   private final StoreCapacity storeCapacity;
   private final long nowMillis;
   private final Map<String, Set<String>> keptModelsByServer;
-  private final Map<String, ServerOrderState> serverById = new HashMap<>();
-  private final Map<String, ModelDemand> totalByModel = new HashMap<>();
-  private final Map<String, Integer> servingReplicasByModel = new HashMap<>();
-  private final Map<String, Integer> replicasByModel = new HashMap<>();
-  private final Set<String> modelsWithCopy = new HashSet<>();
+  private final Map<String, ServerOrderState> serverById;
+  private final Map<String, ModelDemand> totalByModel;
+  private final Map<String, Integer> servingReplicasByModel;
+  private final Map<String, Integer> replicasByModel;
+  private final Set<String> modelsWithCopy;
 
   /**
    * Creates a snapshot.
@@ -41,27 +41,36 @@
       Map<ModelRef, ModelDemand> demandByModel,
       StoreCapacity storeCapacity,
       long nowMillis) {
-    this(engine, servers, demandByModel, storeCapacity, nowMillis, Map.of());
-  }
-
-  private ServiceSnapshot(
-      EngineSpec engine,
-      List<ServerOrderState> servers,
-      Map<ModelRef, ModelDemand> demandByModel,
-      StoreCapacity storeCapacity,
-      long nowMillis,
-      Map<String, Set<String>> keptModelsByServer) {
     this.engine = engine;
     this.servers = List.copyOf(servers);
     this.demandByModel = Map.copyOf(demandByModel);
     this.storeCapacity = storeCapacity;
     this.nowMillis = nowMillis;
-    this.keptModelsByServer = Map.copyOf(keptModelsByServer);
+    this.keptModelsByServer = Map.of();
+    this.serverById = new HashMap<>();
+    this.totalByModel = new HashMap<>();
+    this.servingReplicasByModel = new HashMap<>();
+    this.replicasByModel = new HashMap<>();
+    this.modelsWithCopy = new HashSet<>();
     demandByModel.forEach(
         (ref, demand) -> totalByModel.merge(ref.model(), demand, ModelDemand::plus));
     servers.forEach(this::addToTotals);
   }
 
+  private ServiceSnapshot(ServiceSnapshot state, Map<String, Set<String>> keptModelsByServer) {
+    this.engine = state.engine;
+    this.servers = state.servers;
+    this.demandByModel = state.demandByModel;
+    this.storeCapacity = state.storeCapacity;
+    this.nowMillis = state.nowMillis;
+    this.keptModelsByServer = Map.copyOf(keptModelsByServer);
+    this.serverById = state.serverById;
+    this.totalByModel = state.totalByModel;
+    this.servingReplicasByModel = state.servingReplicasByModel;
+    this.replicasByModel = state.replicasByModel;
+    this.modelsWithCopy = state.modelsWithCopy;
+  }
+
   private void addToTotals(ServerOrderState server) {
     serverById.put(server.id(), server);
     Set<String> loaded = server.entry().inventory().adaptersByModel().keySet();
@@ -87,10 +96,7 @@
 
   /** Returns this snapshot with the models that each server must not evict. */
   ServiceSnapshot withKeptModels(Map<String, Set<String>> modelsByServer) {
-    return modelsByServer.isEmpty()
-        ? this
-        : new ServiceSnapshot(
-            engine, servers, demandByModel, storeCapacity, nowMillis, modelsByServer);
+    return new ServiceSnapshot(this, modelsByServer);
   }
 
   /** Returns whether a server must not evict a model. */
