--- a/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
@@ -37,8 +37,8 @@
   private final StoreQueue storeQueue = new StoreQueue(unservedModels);
   private final UnusedStoreLoads unusedStoreLoads = new UnusedStoreLoads();
 
-  /** Whether the last load from the weight store was for an overloaded model. */
-  private boolean lastLoadWasForOverload;
+  /** Whether the last load from the weight store was for a model that was served already. */
+  private boolean firstCopyIsNext;
 
   /** Plans one round for the service of a snapshot. */
   public RoundPlan plan(ServiceSnapshot state) {
@@ -69,7 +69,7 @@
     serverIdByModel.clear();
     storeQueue.clear();
     unusedStoreLoads.clear();
-    lastLoadWasForOverload = false;
+    firstCopyIsNext = false;
   }
 
   private final class Round {
@@ -153,14 +153,12 @@
      * waiting requests, which would otherwise take every server that becomes free. Of these models
      * only the overloaded ones use the weight store, in turns with models that are not served at
      * all: each kind could use it for as long as its demand lasts. A further replica yields to
-     * models that have been unserved for longer than a load takes, whose requests are all refused;
-     * a first one takes turns with models that have been unserved for longer than a place of the
-     * store is taken.
+     * models that have been unserved for longer than a load takes, whose requests are all refused.
      */
     private void placeReplicas() {
       for (String model : underReplicatedModels()) {
         if (place(model, isOverloaded(model) ? storeLoadsForReplica(model) : 0)) {
-          lastLoadWasForOverload = true;
+          firstCopyIsNext = snapshot.replicas(model) > 0;
         }
       }
     }
@@ -172,13 +170,7 @@
       if (further && unserved.stream().anyMatch(storeQueue::isUnservedForLoad)) {
         return 0;
       }
-      boolean yields =
-          further
-              ? !unserved.isEmpty()
-              : unserved.stream()
-                  .filter(m -> !isOverloaded(m))
-                  .anyMatch(storeQueue::isUnservedForPlace);
-      return lastLoadWasForOverload && yields ? storeLoadsLeft - 1 : storeLoadsLeft;
+      return firstCopyIsNext && !unserved.isEmpty() ? storeLoadsLeft - 1 : storeLoadsLeft;
     }
 
     /** Uses the store loads that are left for replicas of overloaded models. */
@@ -237,14 +229,10 @@
      * model that has been unserved for longer may use the reserved load.
      */
     private void placeUnservedModelsFromStore() {
-      List<String> models = new ArrayList<>(modelsForStore());
-      if (lastLoadWasForOverload) {
-        models.sort(Comparator.comparing(this::isOverloaded));
-      }
-      for (String model : models) {
-        boolean mayUseReservedLoad = lastLoadWasForOverload || storeQueue.isUnservedForPlace(model);
-        if (place(model, mayUseReservedLoad ? storeLoadsLeft : lowDemandLoadsLeft)) {
-          lastLoadWasForOverload = isOverloaded(model);
+      for (String model : modelsForStore()) {
+        boolean longUnserved = storeQueue.isUnservedForPlace(model);
+        if (place(model, longUnserved || firstCopyIsNext ? storeLoadsLeft : lowDemandLoadsLeft)) {
+          firstCopyIsNext = false;
         }
       }
     }
