--- a/core/src/main/java/io/nutmegseam/core/orders/StoreQueue.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/StoreQueue.java
@@ -94,13 +94,8 @@
         > storeLoadMillis(model) / snapshot.storeCapacity().parallelLoads();
   }
 
-  /** Returns whether a crashed server with the weights of a model may be listed again soon. */
-  boolean mayReturn(String model) {
-    return returningCopies.contains(model);
-  }
-
   private boolean hasCopy(String model) {
-    return snapshot.hasCopy(model) || mayReturn(model);
+    return snapshot.hasCopy(model) || returningCopies.contains(model);
   }
 
   private boolean hasUsableCopy(String model, boolean urgent) {
--- a/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
+++ b/core/src/main/java/io/nutmegseam/core/orders/SwapPlanner.java
@@ -250,15 +250,12 @@
      * Reserves the server that can load a model earliest. A busy server may be the best one because
      * it has a copy of the weights; it then stays reserved for the model. A server that loads from
      * the weight store must be able to start the load now, as each load occupies it for seconds.
-     * The store is not used while a crashed server may return with the weights, which then loads
-     * sooner.
      *
      * @param model name of the model
-     * @param allowedStoreLoads number of loads from the weight store that may start for the model
+     * @param storeLoads number of loads from the weight store that may start for the model
      * @return whether a load from the weight store was reserved
      */
-    private boolean place(String model, int allowedStoreLoads) {
-      int storeLoads = storeQueue.mayReturn(model) ? 0 : allowedStoreLoads;
+    private boolean place(String model, int storeLoads) {
       boolean loadable = storeLoads > 0 || snapshot.hasCopy(model);
       if (!loadable || serverIdByModel.containsKey(model)) {
         return false;
