--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Compiles the stand-ins of the scripts in review/6 to review/10.
+# Compiles the stand-ins of the scripts in review/6 to review/9.
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
--- a/review/standin-2/Stand.java
+++ b/review/standin-2/Stand.java
@@ -1,6 +1,7 @@
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.EOFException;
+import java.io.File;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -85,9 +86,17 @@
       gateway.kill();
     }
     store.close();
+    for (Socket socket : reserved) {
+      socket.close();
+    }
     synchronized (lines) {
       Files.write(record, lines);
     }
+    File[] files = folder.toFile().listFiles();
+    for (File file : files == null ? new File[0] : files) {
+      Files.delete(file.toPath());
+    }
+    Files.delete(folder);
   }
 
   /** A gateway process, started with the command of the deploy file. */
