Tell the process that sent a stream from the next one at its address

An address was taken for a process.

A second connection without a request is held while unframed responses of a process are in progress; it ends with the process. A listener alone counts only if the traffic thread was not late, a refusal at the head neither. A drift between the monotonic clock and the time of day, as after a suspension of the VM, counts as lateness.

Tests that failed before: RestartedServerStreamTest, LeavingServerCrashTest$Killed (paused node), ListenerWatchTest$Outcome, TrafficLagTest.

Its stub closed the listener of the process that ends, but not its connections, and began to do so on threads that had to start first.

--- a/node/src/main/java/io/nutmegseam/node/connection/ProcessCheck.java
+++ b/node/src/main/java/io/nutmegseam/node/connection/ProcessCheck.java
@@ -8,6 +8,15 @@
   NOT_NEEDED("", true),
   /** It accepted a connection after the end. */
   LISTENS(", server listens", true),
+  /** It refused a connection after the end, but one that it had accepted before is still open. */
+  HOLDS_CONNECTION(", server holds another connection", true),
+  /** A connection that it had accepted before the end of the response ended too. */
+  ENDED(", server's process has ended", false),
+  /**
+   * Something accepted a connection after the end, but nothing shows that it is the same process:
+   * this node was late, so that the next one may listen.
+   */
+  LISTENS_AFTER_PAUSE(", server listens after a pause of this node", false),
   /** It refused a connection before the end, as a leaving server that completes its responses. */
   STOPPED_BEFORE(", server had stopped listening before", true),
   /** It refused a connection after the end, but was not seen to do so before. */
--- a/node/src/main/java/io/nutmegseam/node/connection/ServerConnectionPool.java
+++ b/node/src/main/java/io/nutmegseam/node/connection/ServerConnectionPool.java
@@ -52,6 +52,31 @@
 
   private record IdleConnection(ServerConnection connection, long sinceMillis) {}
 
+  /** An idle connection that is not used for requests. */
+  private final class Held implements HeldConnection {
+    private final IdleConnection entry;
+
+    private Held(IdleConnection entry) {
+      this.entry = entry;
+    }
+
+    @Override
+    public boolean isOpen() {
+      return entry.connection().isUsable();
+    }
+
+    @Override
+    public long idleSinceMillis() {
+      return entry.sinceMillis();
+    }
+
+    @Override
+    public void release() {
+      // Its server counts the idle time from its last response.
+      idle.addFirst(entry);
+    }
+  }
+
   /**
    * Creates a pool without connections.
    *
@@ -99,9 +124,9 @@
       long maxIdleMillis,
       Consumer<ServerConnection> onAcquired,
       Consumer<ConnectFailure> onFailure) {
-    Optional<ServerConnection> reused = takeIdle(requestId, maxIdleMillis);
+    Optional<IdleConnection> reused = takeIdle(requestId, maxIdleMillis);
     if (reused.isPresent()) {
-      onAcquired.accept(reused.get());
+      onAcquired.accept(reused.get().connection());
     } else {
       closePassedOver();
       connect(this::release, onAcquired, onFailure);
@@ -120,7 +145,7 @@
   }
 
   /** Takes the connection that was used last of those that can carry a request with an id. */
-  private Optional<ServerConnection> takeIdle(String requestId, long maxIdleMillis) {
+  private Optional<IdleConnection> takeIdle(String requestId, long maxIdleMillis) {
     long nowMillis = clock.millis();
     Iterator<IdleConnection> latestFirst = idle.descendingIterator();
     while (latestFirst.hasNext()) {
@@ -133,7 +158,7 @@
         candidate.abort();
       } else if (candidate.canCarry(requestId)) {
         latestFirst.remove();
-        return Optional.of(candidate);
+        return Optional.of(entry);
       }
     }
     return Optional.empty();
@@ -170,6 +195,25 @@
         failure -> onOutcome.accept(failure.refused() ? Optional.of(false) : Optional.empty()));
   }
 
+  /**
+   * Holds an idle connection, or opens one.
+   *
+   * @param onOutcome receives the connection, or empty if none can be opened
+   */
+  public void hold(Consumer<Optional<HeldConnection>> onOutcome) {
+    Optional<IdleConnection> reused = takeIdle("", Long.MAX_VALUE);
+    if (reused.isPresent()) {
+      onOutcome.accept(reused.map(Held::new));
+    } else {
+      connect(
+          this::release,
+          connection ->
+              onOutcome.accept(
+                  Optional.of(new Held(new IdleConnection(connection, clock.millis())))),
+          failure -> onOutcome.accept(Optional.empty()));
+    }
+  }
+
   private ConnectFailure connectFailure(Throwable cause) {
     boolean refused =
         cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
--- a/node/src/main/java/io/nutmegseam/node/gateway/Attempt.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/Attempt.java
@@ -190,7 +190,7 @@
       if (PeerTargets.isPeer(server)) {
         head.headers().remove(context.headers().notRun());
       } else if (BodyFraming.of(head) == BodyFraming.CONNECTION) {
-        unframedResponse = context.listeners().begin(server);
+        unframedResponse = context.listeners().begin(server, sentMillis);
       }
       owner.onHead(head);
     }
@@ -256,22 +256,26 @@
       conclude(end, truncation);
     } else {
       unframedResponse.onConnectionEnded();
-      long leftMillis = Math.max(0, plan.deadlineMillis() - context.clock().millis());
       context
           .loop()
           .schedule(
               () -> checkProcess(end),
-              Math.min(MAX_PROBE_DELAY_MILLIS, leftMillis / 2),
+              Math.min(MAX_PROBE_DELAY_MILLIS, leftMillis() / 2),
               TimeUnit.MILLISECONDS);
     }
   }
 
   private void checkProcess(ResponseEnd end) {
     if (state != State.ENDED) {
-      unframedResponse.check(check -> conclude(end.withProcess(check), check.truncation()));
+      unframedResponse.check(
+          leftMillis(), check -> conclude(end.withProcess(check), check.truncation()));
     }
   }
 
+  private long leftMillis() {
+    return Math.max(0, plan.deadlineMillis() - context.clock().millis());
+  }
+
   /** Returns whether the end of the server's process would look like the end of the response. */
   private boolean mayEndWithProcess(ResponseEnd end) {
     return unframedResponse != null && end.framing() == BodyFraming.CONNECTION;
--- a/node/src/main/java/io/nutmegseam/node/gateway/TrafficContextFactory.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/TrafficContextFactory.java
@@ -59,11 +59,12 @@
     GatewaySettings settings = dependencies.settings();
     InstantSource clock = dependencies.clock();
     SendQuotas quotas = createQuotas(loads);
+    TrafficLag lag = createLag();
     ServerReach.Prober prober =
         (server, onOutcome) -> pools.pool(server.host(), server.port()).probe(onOutcome);
     return new TrafficContext(
         dependencies.loop(),
-        createLag(),
+        lag,
         clock,
         dependencies.headers(),
         dependencies.state(),
@@ -78,7 +79,9 @@
         createReach(prober),
         new ListenerWatch(
             new ProcessProber(prober, dependencies.state()),
+            (server, onOutcome) -> pools.pool(server.host(), server.port()).hold(onOutcome),
             server -> !dependencies.state().isServingInAnyIncarnation(server),
+            lag::isLate,
             timer),
         createPeers(loads),
         loads,
@@ -105,7 +108,8 @@
   }
 
   private TrafficLag createLag() {
-    TrafficLag lag = new TrafficLag(dependencies.clock(), dependencies.loop(), timer);
+    TrafficLag lag =
+        new TrafficLag(dependencies.clock(), InstantSource.system(), dependencies.loop(), timer);
     dependencies.loop().execute(lag::start);
     return lag;
   }
--- a/node/src/main/java/io/nutmegseam/node/gateway/TrafficLag.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/TrafficLag.java
@@ -18,21 +18,25 @@
   private static final long READ_INTERVAL_MILLIS = 1;
 
   private final InstantSource clock;
+  private final InstantSource wallClock;
   private final Executor thread;
   private final TrafficTimer timer;
   private boolean started;
   private long dueMillis;
+  private long wallOffsetMillis;
   private long lastDelayMillis;
 
   /**
    * Creates a component that measures nothing until it is started.
    *
-   * @param clock monotonic clock
+   * @param clock monotonic clock, which may stop while the VM is suspended
+   * @param wallClock time of day
    * @param thread the traffic thread
    * @param timer runs delayed tasks on the traffic thread
    */
-  TrafficLag(InstantSource clock, Executor thread, TrafficTimer timer) {
+  TrafficLag(InstantSource clock, InstantSource wallClock, Executor thread, TrafficTimer timer) {
     this.clock = clock;
+    this.wallClock = wallClock;
     this.thread = thread;
     this.timer = timer;
   }
@@ -58,16 +62,23 @@
 
   /** Returns whether the thread was late recently, or has been busy for long. */
   boolean isLate() {
-    return started && Math.max(lastDelayMillis, clock.millis() - dueMillis) > MAX_DELAY_MILLIS;
+    return started && Math.max(lastDelayMillis, delayMillis()) > MAX_DELAY_MILLIS;
+  }
+
+  /** Returns the delay of the present task; a suspension shows as a drift between the clocks. */
+  private long delayMillis() {
+    long driftMillis = Math.abs(wallClock.millis() - clock.millis() - wallOffsetMillis);
+    return Math.max(clock.millis() - dueMillis, driftMillis);
   }
 
   private void schedule() {
     dueMillis = clock.millis() + INTERVAL_MILLIS;
+    wallOffsetMillis = wallClock.millis() - clock.millis();
     timer.schedule(INTERVAL_MILLIS, this::measure);
   }
 
   private void measure() {
-    lastDelayMillis = clock.millis() - dueMillis;
+    lastDelayMillis = delayMillis();
     schedule();
   }
 }
--- a/node/src/test/java/io/nutmegseam/node/gateway/KillableStreamServer.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/KillableStreamServer.java
@@ -27,6 +27,7 @@
   private final String headers;
   private final ServerSocket listener;
   private final CompletableFuture<Void> accepting;
+  private final List<Socket> connections = new CopyOnWriteArrayList<>();
   private final List<Socket> streams = new CopyOnWriteArrayList<>();
 
   /**
@@ -36,9 +37,13 @@
    * @param headers further headers of its responses, each with a line end
    */
   KillableStreamServer(String id, String headers) throws IOException {
+    this(id, headers, 0);
+  }
+
+  private KillableStreamServer(String id, String headers, int port) throws IOException {
     this.id = id;
     this.headers = headers;
-    this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    this.listener = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
     this.accepting = CompletableFuture.runAsync(this::accept, ConnectionThreads::run);
   }
 
@@ -69,6 +74,13 @@
     }
   }
 
+  /** Ends the connections of all streams between two events. */
+  void endStreams() throws IOException {
+    for (Socket stream : streams) {
+      stream.close();
+    }
+  }
+
   /** Stops listening; streams go on. */
   void stopListening() throws IOException {
     listener.close();
@@ -78,11 +90,17 @@
   /** Ends the listener and all connections in order, as the end of the process does. */
   void kill() throws IOException {
     stopListening();
-    for (Socket stream : streams) {
-      stream.close();
+    for (Socket connection : connections) {
+      connection.close();
     }
   }
 
+  /** Kills the process and returns the next one, which listens at the same address. */
+  KillableStreamServer restart() throws IOException {
+    kill();
+    return new KillableStreamServer(id, headers, listener.getLocalPort());
+  }
+
   @Override
   public void close() throws IOException {
     kill();
@@ -92,6 +110,7 @@
     while (!listener.isClosed()) {
       try {
         Socket socket = listener.accept();
+        connections.add(socket);
         ConnectionThreads.run(() -> beginStream(socket));
       } catch (IOException e) {
         return;
--- a/node/src/test/java/io/nutmegseam/node/gateway/LeavingServerCrashTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/LeavingServerCrashTest.java
@@ -28,6 +28,9 @@
   /** Time for which a stream goes on at a leaving server; shorter than the route's timeout. */
   private static final long LEAVING_MILLIS = 200;
 
+  /** Longer than the delay at which the traffic thread counts as late. */
+  private static final long PAUSE_MILLIS = 600;
+
   private TestGateway gateway;
   private KillableStreamServer server;
   private StubServer other;
@@ -53,7 +56,9 @@
   @AfterEach
   void stopServers() throws IOException {
     gateway.close();
-    server.close();
+    if (server != null) {
+      server.close();
+    }
     if (other != null) {
       other.close();
     }
@@ -87,6 +92,47 @@
       calls.forEach(call -> assertNotCompleted(call.join()));
     }
 
+    // Guards against streams that look complete because the killed server had stopped listening.
+    @Test
+    void should_not_complete_a_stream_whose_server_is_killed_after_it_stopped_listening()
+        throws Exception {
+      // GIVEN
+      List<CompletableFuture<String>> calls = beginStreams(Notice.DRAINING_ENTRY, 1, false);
+      server.stopListening();
+      Thread.sleep(LEAVING_MILLIS);
+      // WHEN
+      server.kill();
+      // THEN
+      assertNotCompleted(calls.get(0).join());
+    }
+
+    // Guards against streams that look complete since their server was killed before a frozen node
+    // read their head.
+    @Test
+    void should_not_complete_a_stream_whose_leaving_server_is_killed_while_the_node_is_paused()
+        throws Exception {
+      // GIVEN
+      other = new StubServer("b", this::leaveAndEndProcess, ConnectionAction.CLOSE);
+      gateway.configureEntries(
+          TestGateway.route(RequestKind.STREAMING, false), List.of(other.entry("s")));
+      // WHEN
+      String received = call("r");
+      // THEN
+      assertNotCompleted(received);
+    }
+
+    private String leaveAndEndProcess(String head) {
+      gateway.pause(PAUSE_MILLIS);
+      gateway.state().addLeaving(other.entry("s").incarnation());
+      try {
+        other.close();
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+      return "HTTP/1.1 200 OK\r\nid: {id}\r\nreceipt: r\r\nContent-Type: text/event-stream\r\n\r\n"
+          + KillableStreamServer.FIRST_EVENT;
+    }
+
     // Guards against resumable streams that end early with the process of a leaving server.
     @Test
     void should_resume_a_stream_whose_leaving_server_is_killed() throws Exception {
--- a/node/src/test/java/io/nutmegseam/node/gateway/ListenerWatchTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/ListenerWatchTest.java
@@ -2,63 +2,22 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.nutmegseam.core.fleet.Incarnation;
-import io.nutmegseam.core.fleet.Inventory;
 import io.nutmegseam.core.fleet.ServerEntry;
 import io.nutmegseam.node.connection.ProcessCheck;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.PriorityQueue;
-import java.util.Queue;
-import java.util.Set;
-import java.util.concurrent.atomic.AtomicReference;
-import java.util.function.Consumer;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-class ListenerWatchTest {
-  private static final Optional<Boolean> ACCEPTED = Optional.of(true);
-  private static final Optional<Boolean> REFUSED = Optional.of(false);
-  private static final Optional<Boolean> NO_ANSWER = Optional.empty();
-
-  private static final long SETTLE_MILLIS =
-      ListenerWatch.SETTLE_ROUNDS * ListenerWatch.SETTLE_MILLIS;
-
-  private final TestClock clock = new TestClock();
-  private final PriorityQueue<Task> tasks = new PriorityQueue<>();
-  private final Queue<Consumer<Optional<Boolean>>> looks = new ArrayDeque<>();
-  private final List<Incarnation> lookedAt = new ArrayList<>();
-  private final Map<Incarnation, Boolean> leaving = new HashMap<>();
-  private final ServerEntry server = server("a");
-  private final ListenerWatch watch =
-      new ListenerWatch(
-          (entry, onOutcome) -> {
-            lookedAt.add(entry.incarnation());
-            looks.add(onOutcome);
-          },
-          entry -> leaving.getOrDefault(entry.incarnation(), false),
-          (delayMillis, task) -> tasks.add(new Task(clock.millis() + delayMillis, task)));
-
-  private record Task(long dueMillis, Runnable action) implements Comparable<Task> {
-    @Override
-    public int compareTo(Task other) {
-      return Long.compare(dueMillis, other.dueMillis);
-    }
-  }
-
+class ListenerWatchTest extends ListenerWatchFixture {
   @Nested
   class Looks {
     @Test
     void should_not_look_at_a_server_that_is_not_leaving() {
       // GIVEN
-      watch.begin(server);
+      begin();
       // WHEN
       advance(10 * ListenerWatch.LOOK_INTERVAL_MILLIS);
       // THEN
@@ -70,7 +29,7 @@
       // GIVEN
       leave(server);
       // WHEN
-      watch.begin(server);
+      begin();
       // THEN
       assertThat(lookedAt).containsExactly(server.incarnation());
     }
@@ -78,7 +37,7 @@
     @Test
     void should_look_within_an_interval_after_the_server_is_known_to_be_leaving() {
       // GIVEN
-      watch.begin(server);
+      begin();
       advance(ListenerWatch.LOOK_INTERVAL_MILLIS / 2);
       leave(server);
       // WHEN
@@ -91,8 +50,8 @@
     void should_look_once_an_interval_for_all_responses_of_a_process() {
       // GIVEN
       leave(server);
-      watch.begin(server);
-      watch.begin(server);
+      begin();
+      begin();
       answer(ACCEPTED);
       // WHEN
       for (int i = 0; i < 3; i++) {
@@ -107,7 +66,7 @@
     void should_not_look_again_before_the_process_has_answered() {
       // GIVEN
       leave(server);
-      watch.begin(server);
+      begin();
       // WHEN
       advance(10 * ListenerWatch.LOOK_INTERVAL_MILLIS);
       // THEN
@@ -120,8 +79,8 @@
       ServerEntry other = server("b");
       leave(server);
       leave(other);
-      ListenerWatch.Response ended = watch.begin(server);
-      watch.begin(other);
+      ListenerWatch.Response ended = begin();
+      watch.begin(other, SENT_MILLIS);
       answer(ACCEPTED);
       answer(ACCEPTED);
       lookedAt.clear();
@@ -135,7 +94,7 @@
     @Test
     void should_schedule_nothing_once_all_responses_have_ended() {
       // GIVEN
-      watch.begin(server).close();
+      begin().close();
       // WHEN
       advance(ListenerWatch.LOOK_INTERVAL_MILLIS);
       // THEN
@@ -160,7 +119,7 @@
       if (isLeaving) {
         leave(server);
       }
-      ListenerWatch.Response response = watch.begin(server);
+      ListenerWatch.Response response = begin();
       if (isLeaving) {
         answer(ACCEPTED);
       }
@@ -179,7 +138,7 @@
     void should_tell_a_server_that_stopped_listening_during_the_response() {
       // GIVEN
       leave(server);
-      ListenerWatch.Response response = watch.begin(server);
+      ListenerWatch.Response response = begin();
       answer(ACCEPTED);
       advance(ListenerWatch.LOOK_INTERVAL_MILLIS);
       answer(REFUSED);
@@ -196,7 +155,7 @@
     void should_not_count_a_refusal_right_before_the_end(long millis) {
       // GIVEN
       leave(server);
-      ListenerWatch.Response response = watch.begin(server);
+      ListenerWatch.Response response = begin();
       answer(ACCEPTED);
       advance(ListenerWatch.LOOK_INTERVAL_MILLIS);
       answer(REFUSED);
@@ -213,7 +172,7 @@
     void should_not_count_a_refusal_while_the_connection_is_not_read_from() {
       // GIVEN
       leave(server);
-      ListenerWatch.Response response = watch.begin(server);
+      ListenerWatch.Response response = begin();
       answer(ACCEPTED);
       advance(ListenerWatch.LOOK_INTERVAL_MILLIS);
       response.onReading(false);
@@ -230,7 +189,7 @@
     void should_count_a_refusal_after_the_connection_is_read_from_again() {
       // GIVEN
       leave(server);
-      ListenerWatch.Response response = watch.begin(server);
+      ListenerWatch.Response response = begin();
       answer(ACCEPTED);
       response.onReading(false);
       response.onReading(true);
@@ -247,7 +206,7 @@
     void should_count_a_look_at_the_head_that_is_answered_after_the_end() {
       // GIVEN
       leave(server);
-      ListenerWatch.Response response = watch.begin(server);
+      ListenerWatch.Response response = begin();
       // WHEN
       response.onConnectionEnded();
       answer(REFUSED);
@@ -255,12 +214,44 @@
       assertThat(check(response, REFUSED)).isEqualTo(ProcessCheck.STOPPED_BEFORE);
     }
 
+    // Guards against processes that ended before a late node read the head of their response.
+    @ParameterizedTest
+    @CsvSource({"true, false", "false, true"})
+    void should_not_count_a_look_at_the_head_if_the_node_was_late(
+        boolean lateAtHead, boolean lateAtAnswer) {
+      // GIVEN
+      leave(server);
+      late = lateAtHead;
+      ListenerWatch.Response response = begin();
+      late = lateAtAnswer;
+      answer(REFUSED);
+      late = false;
+      // WHEN
+      response.onConnectionEnded();
+      // THEN
+      assertThat(check(response, REFUSED)).isEqualTo(ProcessCheck.REFUSED);
+    }
+
+    @Test
+    void should_count_a_refusal_after_the_head_if_the_response_of_a_late_node_goes_on() {
+      // GIVEN
+      leave(server);
+      late = true;
+      ListenerWatch.Response response = begin();
+      answer(REFUSED);
+      advance(SETTLE_MILLIS);
+      // WHEN
+      response.onConnectionEnded();
+      // THEN
+      assertThat(check(response, REFUSED)).isEqualTo(ProcessCheck.STOPPED_BEFORE);
+    }
+
     // Guards against ended processes that look as if they had stopped listening before.
     @Test
     void should_not_count_a_look_that_began_after_the_end() {
       // GIVEN
       leave(server);
-      ListenerWatch.Response response = watch.begin(server);
+      ListenerWatch.Response response = begin();
       answer(ACCEPTED);
       response.onConnectionEnded();
       // WHEN
@@ -275,7 +266,7 @@
     void should_forget_a_refusal_once_the_server_listens_again() {
       // GIVEN
       leave(server);
-      ListenerWatch.Response response = watch.begin(server);
+      ListenerWatch.Response response = begin();
       answer(REFUSED);
       advance(SETTLE_MILLIS + ListenerWatch.LOOK_INTERVAL_MILLIS);
       answer(ACCEPTED);
@@ -289,8 +280,8 @@
     void should_count_a_refusal_for_each_response_of_the_process() {
       // GIVEN
       leave(server);
-      ListenerWatch.Response first = watch.begin(server);
-      ListenerWatch.Response last = watch.begin(server);
+      ListenerWatch.Response first = begin();
+      ListenerWatch.Response last = begin();
       answer(ACCEPTED);
       advance(ListenerWatch.LOOK_INTERVAL_MILLIS);
       answer(REFUSED);
@@ -302,44 +293,5 @@
       // THEN
       assertThat(check(last, REFUSED)).isEqualTo(ProcessCheck.STOPPED_BEFORE);
     }
-
-    private ProcessCheck check(ListenerWatch.Response response, Optional<Boolean> listens) {
-      AtomicReference<ProcessCheck> checked = new AtomicReference<>();
-      response.check(checked::set);
-      answer(listens);
-      return checked.get();
-    }
-  }
-
-  private void leave(ServerEntry entry) {
-    leaving.put(entry.incarnation(), true);
-  }
-
-  /** Answers the earliest look that has no answer yet. */
-  private void answer(Optional<Boolean> listens) {
-    looks.remove().accept(listens);
-  }
-
-  private void advance(long millis) {
-    long endMillis = clock.millis() + millis;
-    while (!tasks.isEmpty() && tasks.peek().dueMillis() <= endMillis) {
-      Task task = tasks.remove();
-      clock.advance(task.dueMillis() - clock.millis());
-      task.action().run();
-    }
-    clock.advance(endMillis - clock.millis());
-  }
-
-  private static ServerEntry server(String id) {
-    return new ServerEntry(
-        new Incarnation(id, 1),
-        "s",
-        "v1",
-        "127.0.0.1",
-        1,
-        "dc",
-        4,
-        false,
-        new Inventory(0, false, Map.of(), Set.of(), Set.of()));
   }
 }
--- a/node/src/test/java/io/nutmegseam/node/gateway/TestGateway.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/TestGateway.java
@@ -43,7 +43,9 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 
 /** A gateway on loopback, with one route to one service, and a caller. */
 final class TestGateway implements AutoCloseable {
@@ -88,10 +90,11 @@
     SendQuotas quotas = unlimitedQuotas(clock);
     ServerConnectionPools pools =
         new ServerConnectionPools(loop, HEADERS.requestId(), clock, (kind, subject, detail) -> {});
+    TrafficLag lag = new TrafficLag(clock, InstantSource.system(), loop, this::schedule);
     context =
         new TrafficContext(
             loop,
-            new TrafficLag(clock, loop, this::schedule),
+            lag,
             clock,
             HEADERS,
             state,
@@ -106,7 +109,9 @@
                 (kind, subject, detail) -> {}),
             new ListenerWatch(
                 (server, onOutcome) -> pools.pool(server.host(), server.port()).probe(onOutcome),
+                (server, onOutcome) -> pools.pool(server.host(), server.port()).hold(onOutcome),
                 server -> !state.isServingInAnyIncarnation(server),
+                lag::isLate,
                 this::schedule),
             new PeerTargets(
                 new PeerTargets.NodeSelf("n1", "dc"),
@@ -153,7 +158,7 @@
             new ArrivalCounts(),
             (kind, subject, detail) -> {},
             new GatewayMetrics());
-    loop.execute(context.lag()::start);
+    loop.execute(lag::start);
     HostPort address = ports.next();
     port = address.port();
     new GatewayServer(group, context).listen(address);
@@ -202,6 +207,23 @@
     return loop;
   }
 
+  /**
+   * Keeps the traffic thread from reading, as a freeze of the node does; returns when it pauses.
+   */
+  void pause(long millis) {
+    CountDownLatch paused = new CountDownLatch(1);
+    loop.execute(
+        () -> {
+          paused.countDown();
+          LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(millis));
+        });
+    try {
+      paused.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /** Keeps the origins of streams in a store. */
   void keepOriginsIn(RowStore store) {
     StoredOrigins stored =
--- a/node/src/test/java/io/nutmegseam/node/gateway/TrafficLagTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/TrafficLagTest.java
@@ -101,9 +101,14 @@
   @Nested
   class Measurement {
     private final TestClock clock = new TestClock();
+    private long suspendedMillis;
     private final List<Runnable> delayed = new ArrayList<>();
     private final TrafficLag lag =
-        new TrafficLag(clock, Runnable::run, (delayMillis, task) -> delayed.add(task));
+        new TrafficLag(
+            clock,
+            () -> clock.instant().plusMillis(suspendedMillis),
+            Runnable::run,
+            (delayMillis, task) -> delayed.add(task));
 
     @Test
     void should_be_late_while_the_thread_is_busy_and_until_it_was_in_time_again() {
@@ -123,6 +128,24 @@
       assertThat(lag.isLate()).isFalse();
     }
 
+    /** Guards against a suspended VM that takes old bytes for new: its monotonic clock stopped. */
+    @Test
+    void should_be_late_after_the_vm_was_suspended() {
+      // GIVEN
+      lag.start();
+      clock.advance(50);
+      // WHEN
+      suspendedMillis = 1_000;
+      assertThat(lag.isLate()).isTrue();
+      clock.advance(50);
+      runNext();
+      assertThat(lag.isLate()).isTrue();
+      // THEN
+      clock.advance(100);
+      runNext();
+      assertThat(lag.isLate()).isFalse();
+    }
+
     @Test
     void should_not_be_late_before_it_is_started() {
       clock.advance(1_000);
--- a/node/src/test/java/io/nutmegseam/node/gateway/TruncatedResponseTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/TruncatedResponseTest.java
@@ -1,16 +1,18 @@
 package io.nutmegseam.node.gateway;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
 
 import io.nutmegseam.core.fleet.Fleet;
 import io.nutmegseam.core.gateway.RequestKind;
 import io.nutmegseam.node.gateway.StubServer.ConnectionAction;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -35,6 +37,9 @@
 
   private static final int LARGE_EVENT_BYTES = 600 << 10;
 
+  /** Time in which the gateway opens a second connection to a server with a stream in progress. */
+  private static final long HOLDING_MILLIS = 200;
+
   private TestGateway gateway;
 
   @BeforeEach
@@ -223,23 +228,29 @@
 
     // Guards against streams that end early with a process whose listener outlives its connections
     // for a moment.
-    @Test
-    void should_not_complete_a_stream_whose_server_stops_listening_right_after_its_end()
-        throws Exception {
-      // GIVEN
-      UnaryOperator<String> responses =
-          head -> {
-            CompletableFuture.delayedExecutor(20, TimeUnit.MILLISECONDS)
-                .execute(() -> endProcess(head));
-            return UNFRAMED_STREAM + FIRST_EVENT;
-          };
-      one = new StubServer("a", responses, ConnectionAction.CLOSE);
-      configure(false, one);
-      // WHEN
-      String received = gateway.call("POST", "1", "");
-      // THEN
-      assertThat(received).contains("id: 1").doesNotContain("(no end)");
-      assertThat(TestGateway.isComplete(received)).as(received).isFalse();
+    @ParameterizedTest
+    @ValueSource(longs = {0, HOLDING_MILLIS})
+    void should_not_complete_a_stream_whose_server_stops_listening_right_after_its_end(
+        long streamMillis) throws Exception {
+      try (KillableStreamServer server = new KillableStreamServer("a", "")) {
+        // GIVEN
+        gateway.configureEntries(
+            TestGateway.route(RequestKind.STREAMING, false), List.of(server.entry()));
+        CompletableFuture<String> call = callInBackground();
+        await()
+            .pollDelay(Duration.ZERO)
+            .pollInterval(Duration.ofMillis(1))
+            .until(() -> server.streamCount() == 1);
+        Thread.sleep(streamMillis);
+        // WHEN
+        server.endStreams();
+        Thread.sleep(20);
+        server.kill();
+        // THEN
+        String received = call.join();
+        assertThat(received).contains("id: 1").doesNotContain("(no end)");
+        assertThat(TestGateway.isComplete(received)).as(received).isFalse();
+      }
     }
 
     /** A leaving server completes its streams, and may have stopped listening before. */
@@ -262,7 +273,9 @@
 
     @AfterEach
     void stopServers() throws IOException {
-      one.close();
+      if (one != null) {
+        one.close();
+      }
       if (other != null) {
         other.close();
       }
@@ -326,6 +339,18 @@
     }
   }
 
+  private CompletableFuture<String> callInBackground() {
+    return CompletableFuture.supplyAsync(
+        () -> {
+          try {
+            return gateway.call("POST", "1", "");
+          } catch (IOException e) {
+            throw new UncheckedIOException(e);
+          }
+        },
+        ConnectionThreads::run);
+  }
+
   private void configure(boolean resumable, StubServer... servers) {
     gateway.configure(
         TestGateway.route(RequestKind.STREAMING, resumable), Optional.empty(), servers);
