Tell what a node has read from what it heard, and its own cut from an outage

The node asks the others for how long the store has answered them; alone, it compares the store's versions with the slowest pace of check-ins that fits its polls. Answers before a suspension of the VM are forgotten.

--- a/core/src/main/java/io/nutmegseam/core/event/EventKind.java
+++ b/core/src/main/java/io/nutmegseam/core/event/EventKind.java
@@ -136,6 +136,8 @@
   WRITE_RELAYED(502),
   /** The platform's store has returned from an older copy; what was written since is lost. */
   STORE_RESTORED(503),
+  /** The store did not answer this node, but others; entries that are missing are gone. */
+  STORE_NOT_AWAY(504),
   /** The node reaches none, or less than half, of a sample of backend servers. */
   SERVERS_OUT(510),
   /** The node reaches most backend servers again. */
--- a/node/src/main/java/io/nutmegseam/node/gateway/FleetControl.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/FleetControl.java
@@ -11,10 +11,8 @@
 import io.nutmegseam.core.platform.StorePosition;
 import io.nutmegseam.node.rows.TableUpdate;
 import java.time.InstantSource;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -82,6 +80,13 @@
     inventoryByServer.put(server, new ObservedInventory(inventory, clock.millis()));
   }
 
+  /** Limits the time after which entries that are missing are removed, in milliseconds. */
+  void limitRemovalGrace(long millis) {
+    long latestMillis = clock.millis() + millis;
+    removeAtMillisById.replaceAll((id, atMillis) -> Math.min(atMillis, latestMillis));
+    publishIfDue();
+  }
+
   /** Publishes the servers if an entry is due for removal. */
   void publishIfDue() {
     long nowMillis = clock.millis();
@@ -112,13 +117,23 @@
         .removeIf(removedMillis -> nowMillis - removedMillis > REMOVED_RETENTION_MILLIS);
     mergedById.keySet().retainAll(entryById.keySet());
     Map<String, ServerEntry> merged = new HashMap<>();
-    entryById.forEach((id, entry) -> merged.put(id, withObservedInventory(entry)));
+    entryById.forEach(
+        (id, entry) -> {
+          if (isServiceKnown(entry)) {
+            merged.put(id, withObservedInventory(entry));
+          }
+        });
     Fleet fleet = new Fleet(merged);
     logSuperseded(fleet.superseded());
     state.setFleet(fleet);
     onChange.run();
   }
 
+  /** Returns whether an entry may name a server to use; that of an unknown service does not. */
+  private boolean isServiceKnown(ServerEntry entry) {
+    return state.config().map(config -> config.service(entry.service()).isPresent()).orElse(true);
+  }
+
   private void logSuperseded(Set<Incarnation> superseded) {
     superseded.stream()
         .filter(server -> !loggedSuperseded.contains(server))
@@ -162,10 +177,9 @@
     configReadMillis.ifPresent(millis -> state.setRoutes(state.routes().confirm(millis)));
   }
 
-  /** Applies rows of the configuration table and returns the update unchanged. */
-  TableUpdate<Row> onConfig(TableUpdate<Row> update) {
+  /** Applies rows of the configuration table. */
+  void onConfig(TableUpdate<Row> update) {
     update.items().forEach(this::onConfigRow);
-    return update;
   }
 
   private void onConfigRow(Row row) {
@@ -181,7 +195,7 @@
           EventKind.CONFIG_IN_FORCE,
           String.valueOf(decoded.get().version()),
           "%d routes, row version %d".formatted(decoded.get().routeCount(), row.version()));
-      onChange.run();
+      publish();
     }
   }
 
@@ -190,12 +204,9 @@
     return decode(row, decoders.server(), EventKind.SERVER_UNREADABLE);
   }
 
-  /**
-   * Applies an update of server entries. Returns a full update unchanged, and a delta reduced to
-   * the entries that have changed.
-   */
-  TableUpdate<ServerEntry> onServers(TableUpdate<ServerEntry> update) {
-    List<ServerEntry> changed = new ArrayList<>();
+  /** Applies an update of server entries. */
+  void onServers(TableUpdate<ServerEntry> update) {
+    boolean changed = false;
     Set<String> present = new HashSet<>();
     boolean restored =
         StorePosition.era(update.version()) > StorePosition.era(serversVersion) && !isEmpty();
@@ -205,9 +216,7 @@
         continue;
       }
       present.add(entry.incarnation().id());
-      if (onEntry(entry)) {
-        changed.add(entry);
-      }
+      changed |= onEntry(entry);
     }
     Set<String> removed = new HashSet<>(update.removedKeys());
     if (update.full()) {
@@ -215,10 +224,9 @@
       removed.removeAll(present);
     }
     removed.forEach(id -> onRemoved(id, update.unsettledMillis()));
-    if (!changed.isEmpty() || !removed.isEmpty() || update.full()) {
+    if (changed || !removed.isEmpty() || update.full()) {
       publish();
     }
-    return update.full() ? update : update.withItems(changed);
   }
 
   private boolean isEmpty() {
--- a/node/src/main/java/io/nutmegseam/node/gateway/PeerFrameRouter.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/PeerFrameRouter.java
@@ -7,6 +7,7 @@
 import io.nutmegseam.node.peer.generated.PeerFrame;
 import io.nutmegseam.node.quota.SendQuotas;
 import io.nutmegseam.node.relay.FleetNewsRelay;
+import io.nutmegseam.node.rows.OutageInquiry;
 import io.nutmegseam.node.tenant.ConfigAgeExchange;
 import java.time.InstantSource;
 
@@ -70,6 +71,8 @@
       dependencies.store().onUpdate(node, frame.getStoreNews());
     } else if (frame.hasRowWriteAsk() || frame.hasRowWriteAnswer()) {
       dependencies.store().onWriteMessage(node, frame);
+    } else if (OutageInquiry.accepts(frame)) {
+      dependencies.store().outages().onFrame(node, frame);
     } else if (ConfigAgeExchange.accepts(frame)) {
       dependencies.store().configAges().onFrame(node, frame);
     } else if (frame.hasCrashNews()) {
--- a/node/src/main/java/io/nutmegseam/node/gateway/StoreWatcher.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/StoreWatcher.java
@@ -9,13 +9,18 @@
 import io.nutmegseam.node.peer.generated.StoreNews;
 import io.nutmegseam.node.rows.NodeDirectory;
 import io.nutmegseam.node.rows.NodeRecord;
+import io.nutmegseam.node.rows.OutageInquiry;
 import io.nutmegseam.node.rows.PeerWriteRelay;
+import io.nutmegseam.node.rows.PollTiming;
+import io.nutmegseam.node.rows.RowFormat;
 import io.nutmegseam.node.rows.RowStore;
+import io.nutmegseam.node.rows.TableSink;
 import io.nutmegseam.node.rows.TableUpdate;
 import io.nutmegseam.node.rows.TableUpdateCodec;
 import io.nutmegseam.node.rows.TableWatcher;
 import io.nutmegseam.node.tenant.ConfigAgeExchange;
 import java.io.IOException;
+import java.time.InstantSource;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -36,15 +41,12 @@
   static final String OWN_TABLE = "nutmegseam";
 
   /** Configuration changes must be active within seconds, so reads wait at the store for them. */
-  private static final TableWatcher.PollTiming CONFIG_POLL_TIMING =
-      new TableWatcher.PollTiming(500, 50, 1_200);
+  private static final PollTiming CONFIG_POLL_TIMING = new PollTiming(500, 50, 1_200);
 
   /** Servers write continuously, so a read that waits for a change would return immediately. */
-  private static final TableWatcher.PollTiming SERVER_POLL_TIMING =
-      new TableWatcher.PollTiming(0, 500, 1_200);
+  private static final PollTiming SERVER_POLL_TIMING = new PollTiming(0, 500, 1_200);
 
-  private static final TableWatcher.PollTiming OWN_TABLE_POLL_TIMING =
-      new TableWatcher.PollTiming(0, 500, 1_200);
+  private static final PollTiming OWN_TABLE_POLL_TIMING = new PollTiming(0, 500, 1_200);
 
   /**
    * Delay before the row of this node is written again if it is still missing or outdated, as after
@@ -71,7 +73,12 @@
   private final ConfigAgeExchange configAges;
   private final Set<String> activeReaders = new HashSet<>();
   private final Map<String, Long> storeReadMillisByNode = new HashMap<>();
+  private final OutageInquiry outages;
   private int unavailableWatchers;
+
+  /** How often this node has written to the store. */
+  private long ownWrites;
+
   private long nextRegistrationMillis = Long.MIN_VALUE;
 
   /** Collaborators of the watcher. */
@@ -107,19 +114,29 @@
             decoders.configTable(),
             CONFIG_POLL_TIMING,
             update -> {
-              TableUpdate<Row> applied = fleet.onConfig(update);
+              fleet.onConfig(update);
               configAges.onRows(update.items());
-              return applied;
             });
     configWatcher.observeReads(configAges::onReadSent);
     this.serverWatcher =
         new TableWatcher<>(
             new TableWatcher.Source(rows, decoders.serverTable()),
             SERVER_POLL_TIMING,
-            fleet::decodeServer,
-            fleet::onServers,
+            RowFormat.servers(fleet::decodeServer),
+            serverSink(fleet),
             (table, update) -> forward(TableUpdateCodec.encodeServers(table, update)),
             context);
+    this.outages =
+        new OutageInquiry(
+            new OutageInquiry.Dependencies(
+                network,
+                () -> directory.nodes().size() == 1,
+                () -> ownWrites,
+                context.clock(),
+                InstantSource.system(),
+                context.random(),
+                events));
+    serverWatcher.observeAnswers(outages);
     this.ownTableWatcher =
         createRowWatcher(
             OWN_TABLE,
@@ -127,7 +144,6 @@
             update -> {
               applyOwnTable(update);
               ownRows.accept(update);
-              return update;
             });
   }
 
@@ -146,12 +162,25 @@
     }
   }
 
-  private TableWatcher<Row> createRowWatcher(
-      String table, TableWatcher.PollTiming timing, TableWatcher.Sink<Row> sink) {
+  private static TableSink<ServerEntry> serverSink(FleetControl fleet) {
+    return new TableSink<>() {
+      @Override
+      public void apply(TableUpdate<ServerEntry> update) {
+        fleet.onServers(update);
+      }
+
+      @Override
+      public void limitUnsettled(long millis) {
+        fleet.limitRemovalGrace(millis);
+      }
+    };
+  }
+
+  private TableWatcher<Row> createRowWatcher(String table, PollTiming timing, TableSink<Row> sink) {
     return new TableWatcher<>(
         new TableWatcher.Source(rows, table),
         timing,
-        Optional::of,
+        RowFormat.rows(),
         sink,
         (name, update) -> forward(TableUpdateCodec.encodeRows(name, update)),
         context);
@@ -182,10 +211,16 @@
       forEachWatcher(TableWatcher::retryAtNextTick);
     }
     unavailableWatchers = unavailable;
+    outages.tick();
     configAges.tick(activeReaders);
     registerThisNode();
   }
 
+  /** Returns what finds out whether the store was away. */
+  OutageInquiry outages() {
+    return outages;
+  }
+
   /** Returns what proves the age of the configuration. */
   ConfigAgeExchange configAges() {
     return configAges;
@@ -237,7 +272,13 @@
     if (relay.isPresent() && ownTableWatcher.isStoreUnavailable()) {
       return peerWrites.write(relay.get(), key, expectedVersion, value);
     }
-    return rows.write(OWN_TABLE, key, expectedVersion, value);
+    return rows.write(OWN_TABLE, key, expectedVersion, value)
+        .thenApplyAsync(
+            version -> {
+              ownWrites += version.isPresent() ? 1 : 0;
+              return version;
+            },
+            context.thread());
   }
 
   /** Returns the connected node that has read the store last, or empty if that is too long ago. */
--- a/node/src/main/java/io/nutmegseam/node/rows/TableUpdateCodec.java
+++ b/node/src/main/java/io/nutmegseam/node/rows/TableUpdateCodec.java
@@ -18,6 +18,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.zip.DeflaterOutputStream;
 import java.util.zip.InflaterInputStream;
@@ -85,14 +86,17 @@
   }
 
   private static StoreNews.Builder header(String table, TableUpdate<?> update) {
-    return StoreNews.newBuilder()
-        .setTable(table)
-        .setAfterVersion(update.afterVersion())
-        .setVersion(update.version())
-        .setWhole(update.full())
-        .setAgeMillis(update.ageMillis())
-        .setUnsettledMillis(update.unsettledMillis())
-        .addAllRemovedKeys(update.removedKeys());
+    StoreNews.Builder message =
+        StoreNews.newBuilder()
+            .setTable(table)
+            .setAfterVersion(update.afterVersion())
+            .setVersion(update.version())
+            .setWhole(update.full())
+            .setAgeMillis(update.ageMillis())
+            .setUnsettledMillis(update.unsettledMillis())
+            .addAllRemovedKeys(update.removedKeys());
+    update.digest().ifPresent(message::setDigest);
+    return message;
   }
 
   private static <T> TableUpdate<T> decode(StoreNews message, List<T> items) {
@@ -103,7 +107,8 @@
         message.getVersion(),
         message.getWhole(),
         message.getAgeMillis(),
-        message.getUnsettledMillis());
+        message.getUnsettledMillis(),
+        message.hasDigest() ? OptionalLong.of(message.getDigest()) : OptionalLong.empty());
   }
 
   private static ServerAnnouncement encodeServer(ServerEntry entry) {
--- a/node/src/main/java/io/nutmegseam/node/rows/TableWatcher.java
+++ b/node/src/main/java/io/nutmegseam/node/rows/TableWatcher.java
@@ -5,11 +5,11 @@
 import io.nutmegseam.core.platform.Row;
 import io.nutmegseam.core.platform.StorePosition;
 import java.time.InstantSource;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.Executor;
-import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -33,44 +33,35 @@
 
   private final Source source;
   private final PollTiming timing;
-  private final Function<Row, Optional<T>> decoder;
-  private final Sink<T> sink;
+  private final RowFormat<T> format;
+  private final TableContents<T> contents;
+  private final AnswerTimes answers;
+  private final TableSink<T> sink;
   private final Relay<T> relay;
   private final Context context;
   private Supplier<Runnable> readObserver = () -> () -> {};
+  private AnswerObserver answerObserver = AnswerObserver.NONE;
   private long version = UNKNOWN_VERSION;
   private boolean fullReadDue = true;
   private boolean readInFlight;
-  private boolean storeUnavailable;
+
+  /** Whether an update was missed during a read, which may lack its changes. */
+  private boolean missedDuringRead;
+
+  /** Whether the last read of this node failed, whoever is to blame for it. */
+  private boolean readFailed;
+
   private long retryMillis = FIRST_RETRY_MILLIS;
   private long nextReadMillis = Long.MIN_VALUE;
-  private long lastResponseMillis;
-  private long recoveredAtMillis = Long.MIN_VALUE / 2;
   private long updatesValidUntilMillis = Long.MIN_VALUE;
 
   /** The store, and the name of the watched table. */
   public record Source(RowStore store, String table) {}
 
-  /**
-   * Times that determine when the table is read, in milliseconds.
-   *
-   * @param longPollMillis longest time that the store may wait for a change
-   * @param pauseMillis pause between two reads
-   * @param maxUpdateAgeMillis age until which an update of the followed node replaces a read
-   */
-  public record PollTiming(long longPollMillis, long pauseMillis, long maxUpdateAgeMillis) {}
-
   /** The control thread, the monotonic clock, the event log and the source of random delays. */
   public record Context(
       Executor thread, InstantSource clock, EventSink events, RandomGenerator random) {}
 
-  /** Applies updates of the table to the state of this node. */
-  @FunctionalInterface
-  public interface Sink<T> {
-    /** Applies an update and returns the update to forward, which may omit unchanged items. */
-    TableUpdate<T> apply(TableUpdate<T> update);
-  }
-
   /** Forwards what this node has read to other nodes. */
   @FunctionalInterface
   public interface Relay<T> {
@@ -83,7 +74,7 @@
    *
    * @param source the watched table
    * @param timing times that determine when the table is read
-   * @param decoder decodes a row; empty for a row to ignore
+   * @param format decodes rows, and tells what nodes forward of them
    * @param sink applies updates
    * @param relay forwards what this node has read
    * @param context the control thread, clock, log and random source
@@ -91,13 +82,15 @@
   public TableWatcher(
       Source source,
       PollTiming timing,
-      Function<Row, Optional<T>> decoder,
-      Sink<T> sink,
+      RowFormat<T> format,
+      TableSink<T> sink,
       Relay<T> relay,
       Context context) {
     this.source = source;
     this.timing = timing;
-    this.decoder = decoder;
+    this.format = format;
+    this.contents = new TableContents<>(format.hashing());
+    this.answers = new AnswerTimes(timing.maxUpdateAgeMillis());
     this.sink = sink;
     this.relay = relay;
     this.context = context;
@@ -113,6 +106,15 @@
     readObserver = observer;
   }
 
+  /**
+   * Sets an observer of the answers of the store.
+   *
+   * @param observer called for each answer
+   */
+  public void observeAnswers(AnswerObserver observer) {
+    answerObserver = observer;
+  }
+
   /** Reads the table if a read is due. */
   public void tick() {
     if (!readInFlight && nowMillis() >= nextReadMillis) {
@@ -126,7 +128,7 @@
    * to a read of another table.
    */
   public void retryAtNextTick() {
-    if (storeUnavailable) {
+    if (readFailed) {
       retryMillis = FIRST_RETRY_MILLIS;
       nextReadMillis = Math.min(nextReadMillis, nowMillis());
     }
@@ -145,7 +147,8 @@
 
   /**
    * Applies an update that another node has read. Ignores an update that is older than the known
-   * version; an update that leaves a gap makes a read due instead.
+   * version; an update that leaves a gap makes a read due instead. So a node has applied every
+   * change up to its version, however updates are lost, delayed or overtaken by its own reads.
    *
    * @param update the update
    * @param followed whether the other node reads the store for this one
@@ -155,40 +158,55 @@
     if (update.version() < version) {
       return;
     }
-    boolean contiguous =
-        update.full()
-            || (version != UNKNOWN_VERSION
-                && update.afterVersion() <= version
-                && StorePosition.era(update.version()) == StorePosition.era(version));
-    if (!contiguous) {
+    if (!isContiguous(update)) {
+      missedDuringRead = readInFlight;
       nextReadMillis = Math.min(nextReadMillis, nowMillis);
       return;
     }
     noteEra(update.version());
-    // The sender may be the only node that did not reach the store.
-    boolean outageSeen = ageMillis() > timing.maxUpdateAgeMillis();
-    if (update.unsettledMillis() > 0 && outageSeen) {
-      long recoveryMillis = nowMillis - SETTLE_MILLIS + update.unsettledMillis();
-      recoveredAtMillis = Math.max(recoveredAtMillis, recoveryMillis);
+    AnswerObserver.State before = state();
+    boolean gap =
+        answers.onAnswerToOther(
+            nowMillis - update.ageMillis(), update.unsettledMillis(), nowMillis);
+    if (gap) {
+      onGap(before, update.version(), contents.removedBy(update));
     }
-    lastResponseMillis = Math.max(lastResponseMillis, nowMillis - update.ageMillis());
     if (update.version() > version) {
       version = update.version();
       fullReadDue &= !update.full();
+      contents.apply(update);
       sink.apply(update.withUnsettledMillis(unsettledMillis()));
     }
+    if (!gap) {
+      answerObserver.onAnswer(state());
+    }
     if (followed) {
       updatesValidUntilMillis = nowMillis - update.ageMillis() + timing.maxUpdateAgeMillis();
       nextReadMillis = Math.max(nextReadMillis, updatesValidUntilMillis);
     }
   }
 
+  /**
+   * Returns whether this node has applied every change up to the version of an update once it has
+   * applied the update. Its sender has left out what it knew already at {@code afterVersion}; rows
+   * that changed and changed back since then differ here if this node has read them meanwhile,
+   * which the digest shows.
+   */
+  private boolean isContiguous(TableUpdate<T> update) {
+    return update.full()
+        || (version != UNKNOWN_VERSION
+            && update.afterVersion() <= version
+            && StorePosition.era(update.version()) == StorePosition.era(version)
+            && (update.digest().isEmpty()
+                || update.digest().getAsLong() == contents.digestAfter(update)));
+  }
+
   /**
    * Returns the time since the store last responded to this node or, according to an update, to
    * another node, in milliseconds.
    */
   public long ageMillis() {
-    return nowMillis() - lastResponseMillis;
+    return nowMillis() - answers.lastMillis();
   }
 
   /**
@@ -196,7 +214,9 @@
    * age; empty if the table has not been read yet.
    */
   public OptionalLong readMillis() {
-    return version == UNKNOWN_VERSION ? OptionalLong.empty() : OptionalLong.of(lastResponseMillis);
+    return version == UNKNOWN_VERSION
+        ? OptionalLong.empty()
+        : OptionalLong.of(answers.lastMillis());
   }
 
   /** Returns the era of the store in which the table was last read; 0 before the first read. */
@@ -206,7 +226,7 @@
 
   /** Returns whether the last read of this node failed. */
   public boolean isStoreUnavailable() {
-    return storeUnavailable;
+    return readFailed;
   }
 
   private long nowMillis() {
@@ -215,6 +235,7 @@
 
   private void read() {
     long after = version;
+    missedDuringRead = false;
     Runnable onApplied = readObserver.get();
     if (fullReadDue) {
       source
@@ -263,26 +284,55 @@
   }
 
   private void onRead(long after, RowStore.ReadResult result, boolean full, Runnable onApplied) {
-    onResponse();
+    AnswerObserver.State before = state();
+    boolean gap = onResponse();
     long newVersion = Math.max(after, result.version());
+    if (missedDuringRead) {
+      nextReadMillis = nowMillis();
+    }
     if (newVersion < version) {
       // An update of another node that is newer than this result was applied during the read.
+      if (gap) {
+        onGap(before, version, 0);
+      }
       return;
     }
     noteEra(newVersion);
-    List<T> items = result.rows().stream().map(decoder).flatMap(Optional::stream).toList();
-    TableUpdate<T> update =
-        new TableUpdate<>(
-            items, result.removedKeys(), after, newVersion, full, 0, unsettledMillis());
+    TableUpdate<T> read = decode(after, result, full);
+    if (gap) {
+      onGap(before, newVersion, contents.removedBy(read));
+    }
+    TableUpdate<T> update = read.withUnsettledMillis(unsettledMillis());
+    List<T> changed = full ? update.items() : contents.changed(update.items());
+    long versionBefore = version;
     version = newVersion;
     fullReadDue = false;
-    TableUpdate<T> changed = sink.apply(update);
+    contents.apply(update);
+    sink.apply(update);
+    if (!gap) {
+      answerObserver.onAnswer(state());
+    }
     onApplied.run();
     if (nowMillis() >= updatesValidUntilMillis) {
-      relay.forward(source.table(), changed);
+      relay.forward(source.table(), update.reducedTo(changed, versionBefore, contents.digest()));
     }
   }
 
+  /** Decodes a result. A row that cannot be decoded replaces what the row said before. */
+  private TableUpdate<T> decode(long after, RowStore.ReadResult result, boolean full) {
+    List<T> items = new ArrayList<>();
+    List<String> removedKeys = new ArrayList<>(result.removedKeys());
+    for (Row row : result.rows()) {
+      Optional<T> item = format.decoder().apply(row);
+      item.ifPresent(items::add);
+      if (item.isEmpty() && !full) {
+        removedKeys.add(row.key());
+      }
+    }
+    long newVersion = Math.max(after, result.version());
+    return new TableUpdate<>(items, removedKeys, after, newVersion, full, 0, 0);
+  }
+
   /**
    * Starts the time in which rows may return if a version belongs to a later era: rows that are
    * missing from the older copy are written again by those whom they describe.
@@ -291,7 +341,7 @@
     if (version == UNKNOWN_VERSION || StorePosition.era(newVersion) <= StorePosition.era(version)) {
       return;
     }
-    recoveredAtMillis = nowMillis();
+    answers.onRestored(nowMillis());
     context
         .events()
         .record(
@@ -301,25 +351,43 @@
                 .formatted(StorePosition.text(newVersion), StorePosition.text(version)));
   }
 
-  /** Returns the time for which lapsed rows may still return, in milliseconds. */
   private long unsettledMillis() {
-    return Math.max(0, recoveredAtMillis + SETTLE_MILLIS - nowMillis());
+    return answers.unsettledMillis(nowMillis());
   }
 
-  private void onResponse() {
-    lastResponseMillis = nowMillis();
-    retryMillis = FIRST_RETRY_MILLIS;
-    nextReadMillis = Math.max(lastResponseMillis + timing.pauseMillis(), updatesValidUntilMillis);
-    if (storeUnavailable) {
-      storeUnavailable = false;
-      recoveredAtMillis = lastResponseMillis;
+  private AnswerObserver.State state() {
+    return new AnswerObserver.State(answers.lastMillis(), version, contents.size());
+  }
+
+  /** Finds out whether the store was away before its last answer. */
+  private void onGap(AnswerObserver.State before, long versionAfter, int removedRows) {
+    AnswerObserver.State after =
+        new AnswerObserver.State(answers.lastMillis(), versionAfter, contents.size() - removedRows);
+    answerObserver.onGap(
+        new AnswerObserver.Gap(before, after, removedRows), this::onAnsweredMeanwhile);
+  }
+
+  private void onAnsweredMeanwhile() {
+    answers.onAnsweredMeanwhile();
+    sink.limitUnsettled(unsettledMillis());
+  }
+
+  /** Handles a response to this node; returns whether the store may have been away before it. */
+  private boolean onResponse() {
+    long nowMillis = nowMillis();
+    if (readFailed) {
+      readFailed = false;
       context.events().record(EventKind.PLATFORM_BACK, source.table(), "version " + version);
     }
+    retryMillis = FIRST_RETRY_MILLIS;
+    nextReadMillis = Math.max(nowMillis + timing.pauseMillis(), updatesValidUntilMillis);
+    return answers.onOwnAnswer(nowMillis);
   }
 
   private void onFailure(Throwable failure) {
-    if (!storeUnavailable) {
-      storeUnavailable = true;
+    answers.onFailure(nowMillis());
+    if (!readFailed) {
+      readFailed = true;
       context
           .events()
           .record(EventKind.PLATFORM_OUT, source.table(), "version " + version + ", " + failure);
--- a/node/src/test/java/io/nutmegseam/node/gateway/FleetControlTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/FleetControlTest.java
@@ -5,10 +5,14 @@
 import io.nutmegseam.core.fleet.Incarnation;
 import io.nutmegseam.core.fleet.Inventory;
 import io.nutmegseam.core.fleet.ServerEntry;
+import io.nutmegseam.core.gateway.GatewayConfig;
+import io.nutmegseam.core.gateway.GatewayLimits;
+import io.nutmegseam.core.gateway.ServiceSpec;
 import io.nutmegseam.core.platform.StorePosition;
 import io.nutmegseam.node.rows.TableUpdate;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -130,6 +134,49 @@
     }
   }
 
+  /**
+   * Guards against entries of unknown services that take a server with their address out of use.
+   */
+  @Test
+  void should_ignore_an_entry_of_a_service_that_is_not_configured() {
+    // GIVEN
+    state.setConfig(config(1, "llm"));
+    ServerEntry other =
+        new ServerEntry(
+            new Incarnation("s2", 60_000),
+            "unknown",
+            "v1",
+            "127.0.0.1",
+            1,
+            "dc",
+            12,
+            false,
+            inventory(0, "old"));
+    // WHEN
+    control.onServers(new TableUpdate<>(List.of(other), List.of(), 1, 2, false, 0, 0));
+    // THEN
+    assertThat(state.fleet().entries()).extracting(e -> e.incarnation().id()).containsExactly("s1");
+  }
+
+  /** Guards against a server that is kept although the store was not away. */
+  @Test
+  void should_remove_an_entry_earlier_if_it_cannot_return() {
+    // GIVEN
+    control.onServers(new TableUpdate<>(List.of(), List.of(SERVER.id()), 1, 2, false, 0, 2_500));
+    // WHEN
+    control.limitRemovalGrace(0);
+    // THEN
+    assertThat(state.fleet().entries()).isEmpty();
+  }
+
+  private static GatewayConfig config(long version, String service) {
+    return new GatewayConfig(
+        version,
+        List.of(),
+        Map.of(service, new ServiceSpec(service, 10, Optional.empty())),
+        new GatewayLimits(8_192, 8_192, 1_000, 5_000));
+  }
+
   private Inventory published() {
     return state.fleet().entry(SERVER.id()).orElseThrow().inventory();
   }
--- a/node/src/test/java/io/nutmegseam/node/gateway/TestCluster.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/TestCluster.java
@@ -44,6 +44,7 @@
   private static final String SERVER_TABLE = "servers";
 
   private final TestRowStore store = new TestRowStore();
+  private final Map<String, StorePath> storePathByNode = new HashMap<>();
   private final Map<String, ServerEntry> entryById = new ConcurrentHashMap<>();
   private final Map<String, GatewayConfig> configByRowValue = new ConcurrentHashMap<>();
   private final Map<String, GatewayConfig> keptConfigByNode = new ConcurrentHashMap<>();
@@ -93,6 +94,11 @@
     return store;
   }
 
+  /** Returns the path of a node to the store. */
+  StorePath storePath(String node) {
+    return storePathByNode.get(node);
+  }
+
   /** Replaces the routes, and waits until they are in force at all nodes that take changes. */
   void configure(Route... routes) {
     putConfig(List.of(routes));
@@ -203,11 +209,13 @@
             revocation,
             AllotmentRules.DEFAULT,
             true);
+    StorePath path = new StorePath(store);
+    storePathByNode.put(node, path);
     GatewayDaemon daemon =
         new GatewayDaemon(
             settings,
             TestGateway.HEADERS,
-            httpClient -> new GatewayDaemon.Platform(store, decoders(node), new NoOrders()));
+            httpClient -> new GatewayDaemon.Platform(path, decoders(node), new NoOrders()));
     daemon.start();
     daemonByNode.put(node, daemon);
     callerAddressByNode.put(node, callerAddress);
--- a/node/src/test/java/io/nutmegseam/node/rows/TableUpdateCodecTest.java
+++ b/node/src/test/java/io/nutmegseam/node/rows/TableUpdateCodecTest.java
@@ -13,6 +13,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
@@ -28,7 +29,8 @@
             9,
             false,
             40,
-            1_200);
+            1_200,
+            OptionalLong.of(-3));
     // WHEN
     TableUpdate<Row> decoded =
         TableUpdateCodec.decodeRows(TableUpdateCodec.encodeRows("op", update));
@@ -67,6 +69,34 @@
     assertThat(decodedEntry.inventory().onDisk()).isEmpty();
   }
 
+  /** Guards against digests that differ between nodes which know the same of a server. */
+  @Test
+  void should_not_change_the_hash_of_a_server() {
+    // GIVEN
+    ServerEntry entry =
+        new ServerEntry(
+            new Incarnation("s1", 12),
+            "llm",
+            "v1.1",
+            "10.0.0.1",
+            80,
+            "dc",
+            12,
+            true,
+            new Inventory(
+                7, true, Map.of("m", Set.of("a1", "a2"), "n", Set.of()), Set.of("m"), Set.of()));
+    TableUpdate<ServerEntry> update =
+        new TableUpdate<>(List.of(entry), List.of(), -1, 4, true, 0, 0);
+    // WHEN
+    ServerEntry decoded =
+        TableUpdateCodec.decodeServers(TableUpdateCodec.encodeServers("servers", update))
+            .items()
+            .get(0);
+    // THEN
+    assertThat(RowHashes.SERVERS.hash().applyAsLong(decoded))
+        .isEqualTo(RowHashes.SERVERS.hash().applyAsLong(entry));
+  }
+
   @Test
   void should_reject_a_value_that_is_not_compressed_text() {
     StoreNews message =
--- a/node/src/test/java/io/nutmegseam/node/rows/TableWatcherTest.java
+++ b/node/src/test/java/io/nutmegseam/node/rows/TableWatcherTest.java
@@ -4,37 +4,13 @@
 
 import io.nutmegseam.core.platform.Row;
 import io.nutmegseam.core.platform.StorePosition;
-import java.time.Instant;
-import java.time.InstantSource;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
-class TableWatcherTest {
-  private static final TableWatcher.PollTiming TIMING = new TableWatcher.PollTiming(0, 500, 1_200);
-  private static final long MAX_RETRY_MILLIS = 2_000;
-
-  private final ManualClock clock = new ManualClock();
-  private final ScriptedRowStore store = new ScriptedRowStore();
-  private final List<TableUpdate<Row>> applied = new ArrayList<>();
-  private final List<TableUpdate<Row>> forwarded = new ArrayList<>();
-  private final TableWatcher<Row> watcher =
-      new TableWatcher<>(
-          new TableWatcher.Source(store, "t"),
-          TIMING,
-          Optional::of,
-          update -> {
-            applied.add(update);
-            return update;
-          },
-          (name, update) -> forwarded.add(update),
-          new TableWatcher.Context(
-              Runnable::run, clock, (kind, subject, detail) -> {}, new Random(1)));
-
+class TableWatcherTest extends TableWatcherFixture {
   @Nested
   class Reading {
     @Test
@@ -65,6 +41,21 @@
       assertThat(applied).extracting(TableUpdate::full).containsExactly(true, true);
     }
 
+    // Guards against a server that is used by an entry that another writer has overwritten.
+    @Test
+    void should_drop_a_row_that_is_overwritten_by_one_that_cannot_be_decoded() {
+      // GIVEN
+      store.addResult(result(7, "a"));
+      watcher.tick();
+      store.addResult(new RowStore.ReadResult(List.of(new Row("a", UNREADABLE, 8)), List.of(), 8));
+      // WHEN
+      run(TIMING.pauseMillis());
+      // THEN
+      assertThat(applied.get(1).items()).isEmpty();
+      assertThat(applied.get(1).removedKeys()).containsExactly("a");
+      assertThat(forwarded.get(1).removedKeys()).containsExactly("a");
+    }
+
     /**
      * Guards against frequent reads of a store that is down, since each refused call has a cost.
      */
@@ -355,30 +346,4 @@
           List.of(new Row("n", "{}", version)), List.of(), 0, version, true, 0, 0);
     }
   }
-
-  private void run(long millis) {
-    long untilMillis = clock.millis() + millis;
-    while (clock.millis() < untilMillis) {
-      clock.nowMillis += 50;
-      watcher.tick();
-    }
-  }
-
-  private static RowStore.ReadResult result(long version, String key) {
-    return new RowStore.ReadResult(List.of(new Row(key, "{}", version)), List.of(), version);
-  }
-
-  private static TableUpdate<Row> update(long after, long version, long ageMillis) {
-    return new TableUpdate<>(
-        List.of(new Row("n", "{}", version)), List.of(), after, version, false, ageMillis, 0);
-  }
-
-  private static final class ManualClock implements InstantSource {
-    private long nowMillis;
-
-    @Override
-    public Instant instant() {
-      return Instant.ofEpochMilli(nowMillis);
-    }
-  }
 }
