--- a/node/src/main/java/io/nutmegseam/node/caller/AdmissionFilter.java
+++ b/node/src/main/java/io/nutmegseam/node/caller/AdmissionFilter.java
@@ -41,7 +41,7 @@
   public SentResponse apply(CallerRequest request, ResponseSink sink, Next next)
       throws RequestException {
     AdmissionRule.check(admissionInput(request));
-    return next.proceed(request);
+    return next.proceed(request, sink);
   }
 
   private AdmissionRule.Inputs admissionInput(CallerRequest request) {
--- a/node/src/main/java/io/nutmegseam/node/caller/CallerApi.java
+++ b/node/src/main/java/io/nutmegseam/node/caller/CallerApi.java
@@ -68,7 +68,7 @@
           filters.apply(
               request,
               sink,
-              last -> {
+              (last, lastSink) -> {
                 throw new IllegalStateException("the last filter must not call the next one");
               });
         });
--- a/node/src/main/java/io/nutmegseam/node/caller/ClaimFilter.java
+++ b/node/src/main/java/io/nutmegseam/node/caller/ClaimFilter.java
@@ -28,7 +28,7 @@
   public SentResponse apply(CallerRequest request, ResponseSink sink, Next next)
       throws RequestException {
     if (request.isCompletion() || request.idempotent()) {
-      return next.proceed(request);
+      return next.proceed(request, sink);
     }
     ClaimRegistry.Request claimRequest =
         new ClaimRegistry.Request(
@@ -38,14 +38,21 @@
             request.deadlineMillis());
     ClaimRegistry.Claim claim = registry.claim(claimRequest);
     Optional<ClaimRow> stored = claim.completedRow();
-    return stored.isPresent() ? replay(stored.get(), sink) : run(request, claim, next);
+    return stored.isPresent() ? replay(stored.get(), sink) : run(request, claim, sink, next);
   }
 
-  private SentResponse run(CallerRequest request, ClaimRegistry.Claim claim, Next next)
+  /**
+   * Runs a request, and sends its response once the outcome is recorded: a caller that repeats the
+   * request as soon as it has the response gets it again, through any node.
+   */
+  private SentResponse run(
+      CallerRequest request, ClaimRegistry.Claim claim, ResponseSink sink, Next next)
       throws RequestException {
     try {
-      SentResponse response = next.proceed(request);
+      DeferredResponse deferred = new DeferredResponse();
+      SentResponse response = next.proceed(request, deferred);
       registry.finish(claim, response.status(), response.contentType(), response.body());
+      deferred.sendTo(sink);
       return response;
     } catch (RequestException e) {
       if (e.kind().ran() == RanStatus.NO) {
--- a/node/src/main/java/io/nutmegseam/node/caller/Filter.java
+++ b/node/src/main/java/io/nutmegseam/node/caller/Filter.java
@@ -12,10 +12,11 @@
      * Runs the filters that follow.
      *
      * @param request the request, as the next filter receives it
+     * @param sink sends the response to the caller, or to the filter that passes the request on
      * @return the response that was sent
      * @throws RequestException if the request is refused or fails
      */
-    SentResponse proceed(CallerRequest request) throws RequestException;
+    SentResponse proceed(CallerRequest request, ResponseSink sink) throws RequestException;
   }
 
   /**
@@ -41,7 +42,7 @@
       Filter rest = chain;
       chain =
           (request, sink, next) ->
-              first.apply(request, sink, forwarded -> rest.apply(forwarded, sink, next));
+              first.apply(request, sink, (forwarded, used) -> rest.apply(forwarded, used, next));
     }
     return chain;
   }
--- a/node/src/main/java/io/nutmegseam/node/caller/RequestLogFilter.java
+++ b/node/src/main/java/io/nutmegseam/node/caller/RequestLogFilter.java
@@ -31,7 +31,7 @@
     long startedMillis = monotonic.millis();
     events.record(EventKind.REQUEST_ACCEPTED, request.id(), request.kind() + " " + request.name());
     try {
-      SentResponse response = next.proceed(request);
+      SentResponse response = next.proceed(request, sink);
       long durationMillis = monotonic.millis() - startedMillis;
       metrics.recordResponse(
           request.interactive(), durationMillis, monotonic.millis() > request.deadlineMillis());
--- a/node/src/main/java/io/nutmegseam/node/control/NodeControl.java
+++ b/node/src/main/java/io/nutmegseam/node/control/NodeControl.java
@@ -231,7 +231,7 @@
   private void onConfig() {
     ownership.onCatalog(config.catalog());
     ownership.onRows();
-    states.retain(config.catalog().backendServers());
+    states.setConfigured(config.catalog().backendServers());
     dirty = true;
   }
 
@@ -286,8 +286,7 @@
     Set<String> leaving = new HashSet<>();
     Set<String> leavingVms = membership.leavingVms();
     for (BackendServerRecord server : config.catalog().backendServers()) {
-      ServerView view = states.views().get(server.name());
-      boolean reportedLeaving = view != null && view.leaving();
+      boolean reportedLeaving = states.view(server.name()).map(ServerView::leaving).orElse(false);
       boolean vmLeaving = leavingVms.contains(server.vm()) || membership.isVmRemoved(server.vm());
       if (server.draining() || reportedLeaving || vmLeaving) {
         leaving.add(server.name());
--- a/node/src/main/java/io/nutmegseam/node/control/ServerStateExchange.java
+++ b/node/src/main/java/io/nutmegseam/node/control/ServerStateExchange.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
 
@@ -18,6 +19,7 @@
   private final ServerLoadTracker loads;
   private final Predicate<String> isInLocalDataCentre;
   private final Map<String, ServerView> views = new HashMap<>();
+  private Set<String> configuredServers = Set.of();
   private final Set<String> informedPeers = new HashSet<>();
 
   /**
@@ -34,8 +36,16 @@
     this.isInLocalDataCentre = isInLocalDataCentre;
   }
 
+  /** Returns the known state of every configured server, by name. */
   Map<String, ServerView> views() {
-    return views;
+    Map<String, ServerView> configured = new HashMap<>(views);
+    configured.keySet().retainAll(configuredServers);
+    return configured;
+  }
+
+  /** Returns the known state of a server. */
+  Optional<ServerView> view(String server) {
+    return Optional.ofNullable(views.get(server));
   }
 
   /** Stores this node's new view of a server and sends it to every peer. */
@@ -92,11 +102,16 @@
     }
   }
 
-  /** Removes the views of servers that are no longer configured. */
-  void retain(Collection<BackendServerRecord> configured) {
+  /**
+   * Sets the configured servers and removes the views of those that no longer are. A view of a
+   * server that is not configured yet stays, since its owner may have read newer records than this
+   * node and sends a state only when it changes.
+   */
+  void setConfigured(Collection<BackendServerRecord> configured) {
     Set<String> names = new HashSet<>();
     configured.forEach(server -> names.add(server.name()));
-    views.keySet().retainAll(names);
+    views.keySet().removeIf(name -> configuredServers.contains(name) && !names.contains(name));
+    configuredServers = names;
   }
 
   private boolean putIfNewer(ServerView view) {
