Count no permits that were denied as requests in flight

Callers saw 503 servers-at-limit while the servers were idle: a node stated what it had asked for, and did not say that it had been denied.

--- a/node/src/main/java/io/nutmegseam/node/quota/InFlightRequests.java
+++ b/node/src/main/java/io/nutmegseam/node/quota/InFlightRequests.java
@@ -59,7 +59,18 @@
     }
   }
 
-  /** Records that a permit was denied, or that its request is sent now. */
+  /**
+   * Records that a permit was denied. The permits asked for meanwhile were counted with it: once
+   * all of them are settled, the number is reported anew, so that requests which wait take no room.
+   */
+  void onDenied(ServerEntry server) {
+    onSettled(server);
+    if (!askedByServer.containsKey(server.incarnation()) && isBrittle.test(server.incarnation())) {
+      reporter.accept(server);
+    }
+  }
+
+  /** Records that the outcome of a permit is not waited for, or that its request is sent now. */
   void onSettled(ServerEntry server) {
     askedByServer.computeIfPresent(
         server.incarnation(), (incarnation, asked) -> asked > 1 ? asked - 1 : null);
--- a/node/src/main/java/io/nutmegseam/node/quota/SendQuotas.java
+++ b/node/src/main/java/io/nutmegseam/node/quota/SendQuotas.java
@@ -348,13 +348,13 @@
     }
 
     private void onDecision(SendQuota.Decision decision) {
-      if (ended) {
+      if (ended && decision.granted()) {
         inFlight.onSettled(server);
-        if (decision.granted()) {
-          report(server, 0, 1, 0);
-        }
+        report(server, 0, 1, 0);
+      } else if (ended) {
+        inFlight.onDenied(server);
       } else if (!decision.granted()) {
-        inFlight.onSettled(server);
+        inFlight.onDenied(server);
         ServerLimits limits = limits(server.incarnation());
         onDenied(decision.waitMillis(), limits.isBrittle() && !limits.isRateLimited());
       } else if (decision.waitMillis() > 0) {
--- a/node/src/test/java/io/nutmegseam/node/quota/QuotaNetwork.java
+++ b/node/src/test/java/io/nutmegseam/node/quota/QuotaNetwork.java
@@ -275,6 +275,13 @@
     }
   }
 
+  /** Has a node receive requests that are meant for the server, all at the same moment. */
+  void request(String node, int requests) {
+    for (int i = 0; i < requests; i++) {
+      nodeByName.get(node).request();
+    }
+  }
+
   /** Makes the server name a limit in its responses, or none. */
   void setLimits(ServerLimits next) {
     limits = next;
@@ -341,17 +348,7 @@
     LimiterSelector selector =
         new LimiterSelector(
             any.record.node(),
-            new PeerTransport() {
-              @Override
-              public boolean send(String node, PeerFrame.Builder frame) {
-                return false;
-              }
-
-              @Override
-              public Set<String> connectedNodes() {
-                return nodeByName.keySet();
-              }
-            },
+            new FixedPeers(nodeByName.keySet()),
             address -> {},
             () -> Instant.ofEpochMilli(nowMillis));
     selector.setNodes(nodeByName.values().stream().map(node -> node.record).toList());
--- a/node/src/test/java/io/nutmegseam/node/quota/RoomWaitTest.java
+++ b/node/src/test/java/io/nutmegseam/node/quota/RoomWaitTest.java
@@ -6,8 +6,6 @@
 import io.nutmegseam.core.fleet.Inventory;
 import io.nutmegseam.core.fleet.ServerEntry;
 import io.nutmegseam.core.quota.ServerLimits;
-import io.nutmegseam.node.peer.PeerTransport;
-import io.nutmegseam.node.peer.generated.PeerFrame;
 import io.nutmegseam.node.rows.NodeRecord;
 import io.nutmegseam.node.settings.HostPort;
 import java.time.Instant;
@@ -56,7 +54,7 @@
         new SendQuotas(
             new SendQuotas.Dependencies(
                 "n1",
-                new Unconnected(),
+                new FixedPeers(Set.of()),
                 address -> {},
                 () -> Instant.ofEpochMilli(nowMillis),
                 (delayMillis, task) -> tasks.add(new Task(nowMillis + delayMillis, task)),
@@ -145,16 +143,4 @@
     }
     nowMillis = untilMillis;
   }
-
-  private static final class Unconnected implements PeerTransport {
-    @Override
-    public boolean send(String node, PeerFrame.Builder frame) {
-      return false;
-    }
-
-    @Override
-    public Set<String> connectedNodes() {
-      return Set.of();
-    }
-  }
 }
--- a/node/src/test/java/io/nutmegseam/node/quota/SendQuotasTest.java
+++ b/node/src/test/java/io/nutmegseam/node/quota/SendQuotasTest.java
@@ -5,6 +5,8 @@
 import io.nutmegseam.core.quota.ServerLimits;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Limits of servers over many nodes, in simulated time. */
 class SendQuotasTest {
@@ -202,6 +204,32 @@
       assertThat(network.nodes()).allSatisfy(node -> assertThat(network.denied(node)).isZero());
     }
 
+    // Guards against room that stays taken by requests which were told to wait, or refused.
+    @ParameterizedTest
+    @CsvSource({"7, 2", "2, 7", "9, 2", "6, 3", "3, 6"})
+    void should_serve_bursts_that_find_room_after_one_that_did_not(int nodes, int requestsPerNode) {
+      // GIVEN
+      QuotaNetwork network = brittle(2);
+      network.nodes().forEach(node -> network.setDemand(node, 0, false));
+      network.advance(1_000);
+      network.nodes().forEach(node -> network.request(node, 4));
+      network.advance(600);
+      int refused = denied(network);
+      // WHEN
+      for (int burst = 0; burst < 8; burst++) {
+        network.nodes().subList(0, nodes).forEach(node -> network.request(node, requestsPerNode));
+        network.advance(600);
+      }
+      // THEN
+      assertThat(refused).isPositive();
+      assertThat(denied(network)).isEqualTo(refused);
+      assertThat(network.arrivals().mostRejectedWithinSecond(1_000)).isZero();
+    }
+
+    private int denied(QuotaNetwork network) {
+      return network.nodes().stream().mapToInt(network::denied).sum();
+    }
+
     @Test
     void should_not_make_it_fall_over_when_nodes_are_killed_frozen_and_restarted() {
       // GIVEN
