Bound the memory of request bodies, and never block the traffic thread for it

Cause: bodies were kept in direct memory until they were complete, and written to servers as a whole, without a limit for all connections together. Once the direct memory is used up, the next allocation sleeps on the only traffic thread. Pooled connections kept the last body besides.

A connection without memory for its body is not read from; large bodies wait for each other, small ones do not wait behind them. The wait counts against the time of the request and ends with 503 no-body-memory.

--- a/core/src/main/java/io/nutmegseam/core/error/ErrorKind.java
+++ b/core/src/main/java/io/nutmegseam/core/error/ErrorKind.java
@@ -46,6 +46,8 @@
   NO_BACKEND_SERVER(503, RanStatus.NO, RetryAdvice.LATER),
   /** All backend servers that could serve the request are at the limits that they name. */
   SERVERS_AT_LIMIT(503, RanStatus.NO, RetryAdvice.LATER),
+  /** The bodies of other requests used up the memory of the node; this one was not received. */
+  NO_BODY_MEMORY(503, RanStatus.NO, RetryAdvice.LATER),
   /** The request did not run: it was not sent, or the backend server refused it. */
   BACKEND_REFUSED(503, RanStatus.NO, RetryAdvice.LATER),
   /** Requests like this one crashed the backend servers that ran them; this one did not run. */
--- /dev/null
+++ b/node/src/main/java/io/nutmegseam/node/body/BodyReceiver.java
@@ -0,0 +1,176 @@
+package io.nutmegseam.node.body;
+
+import com.google.protobuf.ByteString;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.InstantSource;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/**
+ * Receives the body of one request on the heap. Its connection is not read from while there is no
+ * memory for the body. Confined to the traffic thread.
+ */
+public final class BodyReceiver {
+  private final Limits limits;
+  private final ChannelHandlerContext connection;
+  private final InstantSource clock;
+  private final Runnable onExpired;
+  private final BodyMemory.Lease lease;
+  private ByteString.Output output;
+  private ScheduledFuture<?> expiry;
+  private boolean continueDue;
+  private long progressMillis;
+  private long waitingSinceMillis;
+  private long waitedMillis;
+
+  /**
+   * Limits of a body.
+   *
+   * @param maxBytes maximum size, in bytes
+   * @param maxWaitMillis supplies the longest wait for memory, in milliseconds
+   */
+  public record Limits(int maxBytes, LongSupplier maxWaitMillis) {}
+
+  /**
+   * Creates a receiver, and stops reading from the connection until there is memory.
+   *
+   * @param request the head of the request
+   * @param memory memory of all bodies
+   * @param limits limits of the body; its length, if the head names it, is not larger
+   * @param connection the connection of the caller
+   * @param clock monotonic clock
+   * @param onExpired called when it has waited for too long
+   */
+  public BodyReceiver(
+      HttpRequest request,
+      BodyMemory memory,
+      Limits limits,
+      ChannelHandlerContext connection,
+      InstantSource clock,
+      Runnable onExpired) {
+    this.limits = limits;
+    this.connection = connection;
+    this.clock = clock;
+    this.onExpired = onExpired;
+    this.progressMillis = clock.millis();
+    this.continueDue = HttpUtil.is100ContinueExpected(request);
+    long expectedBytes =
+        BodyLengths.of(request).orElse(Math.min(limits.maxBytes(), BodyMemory.SMALL_BODY_BYTES));
+    this.lease = memory.lease(expectedBytes, this::onGranted);
+    this.output = ByteString.newOutput((int) Math.min(expectedBytes, BodyMemory.SMALL_BODY_BYTES));
+    if (lease.isWaiting()) {
+      stopReading();
+    } else {
+      writeContinueIfDue();
+    }
+  }
+
+  /** Returns whether it waits for memory. */
+  public boolean isWaiting() {
+    return lease.isWaiting();
+  }
+
+  /**
+   * Returns for how long it has waited for memory, in milliseconds. The caller could not send the
+   * body meanwhile.
+   */
+  public long waitedMillis() {
+    return waitedMillis + (isWaiting() ? clock.millis() - waitingSinceMillis : 0);
+  }
+
+  /**
+   * Returns for how long the caller has sent nothing although the connection is read from, in
+   * milliseconds.
+   */
+  public long stalledMillis() {
+    return isWaiting() ? 0 : clock.millis() - progressMillis;
+  }
+
+  /** Adds content, which it copies; returns false if the body is larger than the maximum. */
+  public boolean add(ByteBuf content) {
+    progressMillis = clock.millis();
+    int contentBytes = content.readableBytes();
+    if ((long) output.size() + contentBytes > limits.maxBytes()) {
+      return false;
+    }
+    try {
+      content.getBytes(content.readerIndex(), output, contentBytes);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    if (output.size() > lease.bytes() && !isWaiting()) {
+      lease.growTo(limits.maxBytes());
+      if (isWaiting()) {
+        stopReading();
+      }
+    }
+    return true;
+  }
+
+  /** Returns the complete body. Its memory stays leased until the lease is released. */
+  public ByteString complete() {
+    lease.settle(output.size());
+    ByteString body = output.toByteString();
+    close();
+    return body;
+  }
+
+  /** Returns the memory of the body. */
+  public BodyMemory.Lease lease() {
+    return lease;
+  }
+
+  /** Discards what has been received. */
+  public void discard() {
+    lease.release();
+    close();
+  }
+
+  /** Drops the reference to the body: the lease, which refers to this receiver, may live longer. */
+  private void close() {
+    output = null;
+    startReading();
+  }
+
+  private void stopReading() {
+    waitingSinceMillis = clock.millis();
+    connection.channel().config().setAutoRead(false);
+    long maxWaitMillis = limits.maxWaitMillis().getAsLong();
+    expiry =
+        connection
+            .executor()
+            .schedule(onExpired, maxWaitMillis - waitedMillis, TimeUnit.MILLISECONDS);
+  }
+
+  private void onGranted() {
+    progressMillis = clock.millis();
+    waitedMillis += clock.millis() - waitingSinceMillis;
+    startReading();
+    writeContinueIfDue();
+  }
+
+  private void startReading() {
+    if (expiry != null) {
+      expiry.cancel(false);
+      expiry = null;
+    }
+    connection.channel().config().setAutoRead(true);
+  }
+
+  private void writeContinueIfDue() {
+    if (continueDue) {
+      continueDue = false;
+      connection.writeAndFlush(
+          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+    }
+  }
+}
--- a/node/src/main/java/io/nutmegseam/node/connection/ServerConnection.java
+++ b/node/src/main/java/io/nutmegseam/node/connection/ServerConnection.java
@@ -2,7 +2,6 @@
 
 import com.google.protobuf.ByteString;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -10,12 +9,13 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.ChannelOutputShutdownEvent;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -51,6 +51,7 @@
   private final Consumer<ServerConnection> onIdle;
   private final EventSink events;
   private final CarriedIds carriedIds = new CarriedIds(MAX_REQUESTS_WITH_ID);
+  private ChannelHandlerContext channelContext;
   private Channel channel;
   private ResponseListener listener;
   private OutboundRequest request;
@@ -89,6 +90,10 @@
     private boolean isHead() {
       return method.equals(HttpMethod.HEAD);
     }
+
+    private OutboundRequest withoutBody() {
+      return new OutboundRequest(method, target, headers, ByteString.EMPTY, requestId, idOptional);
+    }
   }
 
   /**
@@ -137,23 +142,22 @@
   public void send(OutboundRequest outbound, ResponseListener responseListener) {
     requests++;
     listener = responseListener;
-    request = outbound;
+    // A pooled connection must not keep the body until its next request.
+    request = outbound.withoutBody();
     if (!request.requestId().isEmpty()) {
       carriedIds.add(request.requestId());
     }
     headReceived = false;
-    decoder.onRequest(response -> outbound.isHead() && isExpected(response));
-    DefaultFullHttpRequest message =
-        new DefaultFullHttpRequest(
-            HttpVersion.HTTP_1_1,
-            request.method(),
-            request.target(),
-            Unpooled.wrappedBuffer(request.body().asReadOnlyByteBuffer()));
-    message.headers().set(request.headers());
-    if (!request.body().isEmpty() || request.method().equals(HttpMethod.POST)) {
-      message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().size());
+    boolean withoutResponseBody = request.isHead();
+    decoder.onRequest(response -> withoutResponseBody && isExpected(response));
+    ByteString body = outbound.body();
+    HttpRequest head =
+        new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.target());
+    head.headers().set(request.headers());
+    if (!body.isEmpty() || request.method().equals(HttpMethod.POST)) {
+      head.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size());
     }
-    writeFuture = channel.writeAndFlush(message);
+    writeFuture = RequestBodyWriter.write(channelContext, head, body);
   }
 
   /** Pauses or resumes reading from the server, for a caller that reads slowly. */
@@ -182,6 +186,7 @@
 
   @Override
   public void handlerAdded(ChannelHandlerContext context) {
+    channelContext = context;
     channel = context.channel();
   }
 
--- a/node/src/main/java/io/nutmegseam/node/gateway/CallerConnection.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/CallerConnection.java
@@ -1,8 +1,6 @@
 package io.nutmegseam.node.gateway;
 
-import com.google.protobuf.ByteString;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -21,14 +19,15 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.ReferenceCountUtil;
 import io.nutmegseam.core.error.RanStatus;
 import io.nutmegseam.core.error.RequestException;
-import io.nutmegseam.core.gateway.GatewayLimits;
+import io.nutmegseam.node.body.BodyLengths;
+import io.nutmegseam.node.body.BodyMemory;
+import io.nutmegseam.node.body.BodyReceiver;
 import io.nutmegseam.node.caller.RequestErrors;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -44,15 +43,15 @@
 final class CallerConnection extends ChannelInboundHandlerAdapter implements ResponseWriter {
   private static final int MAX_PIPELINED = 8;
   private static final double MILLIS_PER_SECOND = 1_000.0;
-  private static final int DEFAULT_MAX_BODY_BYTES = 4 << 20;
 
   private final TrafficContext context;
   private final IntConsumer inFlightChange;
   private final boolean fromPeer;
-  private final Deque<InboundRequest> pipelined = new ArrayDeque<>();
+  private final Deque<ReceivedRequest> pipelined = new ArrayDeque<>();
   private ChannelHandlerContext channelContext;
   private HttpRequest requestHead;
-  private CompositeByteBuf requestBody;
+  private BodyReceiver body;
+  private BodyMemory.Lease bodyInUse;
   private boolean closing;
   private Optional<RequestException> rejection = Optional.empty();
   private Exchange exchange;
@@ -62,6 +61,9 @@
   private int unsentResponses;
   private boolean flushScheduled;
 
+  /** A complete request with the memory of its body. */
+  private record ReceivedRequest(InboundRequest request, BodyMemory.Lease body) {}
+
   /**
    * Creates the handler of a connection.
    *
@@ -116,8 +118,9 @@
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     closing = true;
+    pipelined.forEach(received -> received.body().release());
     pipelined.clear();
-    releaseBody();
+    discardBody();
     if (exchange != null) {
       exchange.cancel();
     }
@@ -138,6 +141,17 @@
       // A caller that has read nothing for two idle times gets no more of its response.
       closeIfWithoutRequest();
     }
+    if (event instanceof IdleStateEvent && body != null) {
+      closeIfStalled();
+    }
+  }
+
+  /** Closes the connection of a caller that does not go on with a body, which takes up memory. */
+  private void closeIfStalled() {
+    boolean responding = exchange != null || !pipelined.isEmpty() || unsentResponses > 0;
+    if (!responding && body.stalledMillis() >= context.gatewayLimits().idleTimeoutMillis()) {
+      channelContext.close();
+    }
   }
 
   @Override
@@ -162,7 +176,7 @@
   }
 
   private void onHead(HttpRequest request) {
-    if (hasAmbiguousLength(request.headers())) {
+    if (BodyLengths.areAmbiguous(request.headers())) {
       reject(GatewayErrors.malformed("ambiguous Content-Length or Transfer-Encoding"));
       return;
     }
@@ -171,42 +185,26 @@
       reject(GatewayErrors.malformed("the request target is not valid UTF-8"));
       return;
     }
-    requestHead = request.setUri(target.get());
-    requestBody = channelContext.alloc().compositeBuffer();
-    if (HttpUtil.is100ContinueExpected(request)) {
-      channelContext.writeAndFlush(
-          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+    int maxBytes = context.gatewayLimits().maxBodyBytes();
+    if (BodyLengths.of(request).orElse(0) > maxBytes) {
+      reject(GatewayErrors.bodyTooLarge(maxBytes));
+      return;
     }
-  }
-
-  /**
-   * Returns whether two HTTP implementations could disagree on where the request ends. Such a
-   * request is rejected, since it could smuggle another request past one of them.
-   */
-  private static boolean hasAmbiguousLength(HttpHeaders headers) {
-    boolean chunked = headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
-    int lengths = headers.getAll(HttpHeaderNames.CONTENT_LENGTH).size();
-    boolean knownCoding =
-        !chunked
-            || "chunked"
-                .equals(headers.get(HttpHeaderNames.TRANSFER_ENCODING).toLowerCase(Locale.ROOT));
-    return (chunked && lengths > 0) || lengths > 1 || !knownCoding;
+    requestHead = request.setUri(target.get());
+    body =
+        new BodyReceiver(
+            request,
+            context.bodies(),
+            new BodyReceiver.Limits(maxBytes, () -> context.bodyWaitMillis(request)),
+            channelContext,
+            context.clock(),
+            () -> reject(GatewayErrors.noBodyMemory(RetryAfter.jitteredMillis())));
   }
 
   private void onContent(HttpContent content) {
-    int maxBytes =
-        context
-            .state()
-            .config()
-            .map(config -> config.limits())
-            .map(GatewayLimits::maxBodyBytes)
-            .orElse(DEFAULT_MAX_BODY_BYTES);
-    if (requestBody.readableBytes() + content.content().readableBytes() > maxBytes) {
-      reject(GatewayErrors.bodyTooLarge(maxBytes));
-      return;
-    }
-    requestBody.addComponent(true, content.content().retain());
-    if (content instanceof LastHttpContent) {
+    if (!body.add(content.content())) {
+      reject(GatewayErrors.bodyTooLarge(context.gatewayLimits().maxBodyBytes()));
+    } else if (content instanceof LastHttpContent) {
       onRequest();
     }
   }
@@ -217,12 +215,12 @@
             requestHead.method(),
             requestHead.uri(),
             requestHead.headers(),
-            ByteString.copyFrom(requestBody.nioBuffer()),
-            context.clock().millis(),
+            body.complete(),
+            context.clock().millis() - body.waitedMillis(),
             fromPeer);
-    releaseBody();
+    pipelined.addLast(new ReceivedRequest(request, body.lease()));
+    body = null;
     requestHead = null;
-    pipelined.addLast(request);
     if (pipelined.size() > MAX_PIPELINED) {
       channelContext.close();
     } else if (exchange == null) {
@@ -231,10 +229,12 @@
   }
 
   private void startNext() {
-    InboundRequest request = pipelined.pollFirst();
-    if (request == null) {
+    ReceivedRequest received = pipelined.pollFirst();
+    if (received == null) {
       return;
     }
+    InboundRequest request = received.request();
+    bodyInUse = received.body();
     keepAlive =
         !HttpHeaderValues.CLOSE.contentEqualsIgnoreCase(
             request.headers().get(HttpHeaderNames.CONNECTION, ""));
@@ -247,6 +247,8 @@
 
   private void onExchangeDone() {
     exchange = null;
+    bodyInUse.release();
+    bodyInUse = null;
     inFlightChange.accept(-1);
     if (!closing) {
       channelContext.channel().eventLoop().execute(this::startNextIfIdle);
@@ -266,7 +268,7 @@
    */
   private void reject(RequestException error) {
     rejection = Optional.of(error);
-    releaseBody();
+    discardBody();
     requestHead = null;
     writeRejectionIfDue();
   }
@@ -280,10 +282,11 @@
     }
   }
 
-  private void releaseBody() {
-    if (requestBody != null) {
-      requestBody.release();
-      requestBody = null;
+  private void discardBody() {
+    if (body != null) {
+      BodyReceiver discarded = body;
+      body = null;
+      discarded.discard();
     }
   }
 
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayDaemon.java
@@ -295,7 +295,8 @@
   /** Opens the listening addresses and starts the periodic tasks. */
   public void start() {
     events.record(EventKind.NODE_STARTING, settings.node(), settings.toString());
-    new NodeGauges(server, store, quotas, traffic.reach(), events).register(metrics);
+    new NodeGauges(server, store, quotas, traffic.reach(), traffic.bodies(), events)
+        .register(metrics);
     metrics.registerWaiting(traffic.waitQueue().dispatch()::waitingByPriority);
     RemoteTraffic remote = NodeGauges.registerRemoteTraffic(metrics, traffic, network.traffic());
     thread.schedulePeriodically(RemoteTraffic.LOG_INTERVAL_MILLIS, remote::log);
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayErrors.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayErrors.java
@@ -44,6 +44,14 @@
         ErrorKind.BODY_TOO_LARGE, "the request body is larger than %d bytes".formatted(maxBytes));
   }
 
+  /** Returns the error for a request whose body has waited for memory for too long. */
+  static RequestException noBodyMemory(long retryAfterMillis) {
+    return new RequestException(
+        ErrorKind.NO_BODY_MEMORY,
+        "the bodies of other requests use up the memory of this node",
+        retryAfterMillis);
+  }
+
   /** Returns the error for a request that is not valid HTTP. */
   static RequestException malformed(String reason) {
     return new RequestException(ErrorKind.BAD_REQUEST, "malformed request: " + reason);
--- a/node/src/main/java/io/nutmegseam/node/gateway/GatewayServer.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/GatewayServer.java
@@ -26,8 +26,6 @@
   private static final int ACCEPT_BACKLOG = 1_024;
   private static final int MAX_REQUEST_LINE_BYTES = 8_192;
   private static final int MAX_CHUNK_BYTES = 16_384;
-  private static final GatewayLimits DEFAULT_LIMITS =
-      new GatewayLimits(16_384, 4 << 20, 3_000, 15_000);
 
   private final EventLoopGroup group;
   private final TrafficContext context;
@@ -112,8 +110,7 @@
 
     @Override
     protected void initChannel(SocketChannel channel) {
-      GatewayLimits limits =
-          context.state().config().map(config -> config.limits()).orElse(DEFAULT_LIMITS);
+      GatewayLimits limits = context.gatewayLimits();
       CallerConnection connection = new CallerConnection(context, inFlight::addAndGet, fromPeer);
       connections.add(connection);
       Channel closing = channel;
--- a/node/src/main/java/io/nutmegseam/node/gateway/NodeGauges.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/NodeGauges.java
@@ -1,5 +1,6 @@
 package io.nutmegseam.node.gateway;
 
+import io.nutmegseam.node.body.BodyMemory;
 import io.nutmegseam.node.log.BoundedEventLog;
 import io.nutmegseam.node.pace.RemoteTraffic;
 import io.nutmegseam.node.peer.PeerTrafficCounter;
@@ -11,6 +12,7 @@
     StoreWatcher store,
     SendQuotas quotas,
     ServerReach reach,
+    BodyMemory bodies,
     BoundedEventLog events) {
   /** Registers the bytes exchanged with other data centres; returns what counts them. */
   static RemoteTraffic registerRemoteTraffic(
@@ -39,6 +41,9 @@
         "servers_reached",
         "Whether this node reaches servers: 2 for most, 1 for less than half, 0 for none",
         () -> reach.reach().level());
+    metrics.registerGauge("body_bytes", "Memory of request bodies, in bytes", bodies::leasedBytes);
+    metrics.registerGauge(
+        "waiting_bodies", "Request bodies that wait for memory", bodies::waitingCount);
     metrics.registerCounter("log_dropped", "Log lines dropped", events::droppedCount);
   }
 }
--- a/node/src/main/java/io/nutmegseam/node/gateway/RequestPlan.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/RequestPlan.java
@@ -1,5 +1,6 @@
 package io.nutmegseam.node.gateway;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import io.nutmegseam.core.dispatch.WaitingRequest;
 import io.nutmegseam.core.error.RequestException;
 import io.nutmegseam.core.fleet.ModelRef;
@@ -215,7 +216,8 @@
 
   private static long remainingMillis(InboundRequest request, GatewayHeaders names, Route route)
       throws RequestException {
-    return Math.min(callerMillis(request, names).orElse(Long.MAX_VALUE), route.timeoutMillis());
+    return Math.min(
+        callerMillis(request.headers(), names).orElse(Long.MAX_VALUE), route.timeoutMillis());
   }
 
   /**
@@ -223,9 +225,9 @@
    *
    * @throws RequestException if the header is not a number of milliseconds
    */
-  static OptionalLong callerMillis(InboundRequest request, GatewayHeaders names)
+  static OptionalLong callerMillis(HttpHeaders headers, GatewayHeaders names)
       throws RequestException {
-    String text = request.headers().get(names.deadlineMillis());
+    String text = headers.get(names.deadlineMillis());
     if (text == null) {
       return OptionalLong.empty();
     }
--- a/node/src/main/java/io/nutmegseam/node/gateway/ResumptionRouter.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/ResumptionRouter.java
@@ -80,7 +80,7 @@
     long timeoutMillis =
         context.state().routes().longestTimeoutMillis(plan.route(), context.clock().millis());
     long longestMillis = timeoutMillis + CALLER_LIMIT_SLACK_MILLIS;
-    OptionalLong leftMillis = RequestPlan.callerMillis(request, context.headers());
+    OptionalLong leftMillis = RequestPlan.callerMillis(request.headers(), context.headers());
     return leftMillis.isPresent() && leftMillis.getAsLong() <= longestMillis
         ? longestMillis - Math.min(leftMillis.getAsLong(), plan.route().timeoutMillis())
         : Math.max(longestMillis, context.origins().retentionMillis());
--- a/node/src/main/java/io/nutmegseam/node/gateway/TrafficContext.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/TrafficContext.java
@@ -1,10 +1,15 @@
 package io.nutmegseam.node.gateway;
 
+import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpRequest;
 import io.nutmegseam.core.error.RequestException;
 import io.nutmegseam.core.event.EventSink;
+import io.nutmegseam.core.gateway.GatewayConfig;
+import io.nutmegseam.core.gateway.GatewayLimits;
 import io.nutmegseam.node.allotment.Allotments;
 import io.nutmegseam.node.allotment.RequestCharge;
+import io.nutmegseam.node.body.BodyMemory;
 import io.nutmegseam.node.connection.ServerConnectionPools;
 import io.nutmegseam.node.quota.SendQuotas;
 import io.nutmegseam.node.rows.RowStore;
@@ -20,6 +25,7 @@
  * @param clock monotonic clock
  * @param headers names of the headers
  * @param state state published by the control thread
+ * @param bodies memory of the request bodies
  * @param pools connection pools of the servers
  * @param chooser chooses servers
  * @param reach whether this node reaches servers
@@ -44,6 +50,7 @@
     InstantSource clock,
     GatewayHeaders headers,
     GatewayState state,
+    BodyMemory bodies,
     ServerConnectionPools pools,
     ServerChooser chooser,
     ServerReach reach,
@@ -61,6 +68,37 @@
     ArrivalCounts arrivals,
     EventSink events,
     GatewayMetrics metrics) {
+  private static final GatewayLimits DEFAULT_LIMITS =
+      new GatewayLimits(16_384, 4 << 20, 3_000, 15_000);
+
+  /** Returns the limits of the configuration, or others until it has been read. */
+  GatewayLimits gatewayLimits() {
+    return state.config().map(GatewayConfig::limits).orElse(DEFAULT_LIMITS);
+  }
+
+  /**
+   * Returns for how long the body of a request may wait for memory, in milliseconds: after that,
+   * its response would be late.
+   */
+  long bodyWaitMillis(HttpRequest head) {
+    InboundRequest request =
+        new InboundRequest(
+            head.method(), head.uri(), head.headers(), ByteString.EMPTY, clock.millis(), false);
+    long routeMillis =
+        state
+            .config()
+            .flatMap(config -> config.route(request.host(), request.path()))
+            .map(route -> Math.min(route.timeoutMillis(), route.callerIdleTimeoutMillis()))
+            .orElse(gatewayLimits().idleTimeoutMillis());
+    try {
+      return Math.min(
+          routeMillis, RequestPlan.callerMillis(head.headers(), headers).orElse(routeMillis));
+    } catch (RequestException e) {
+      // The value is rejected when the request has been received.
+      return routeMillis;
+    }
+  }
+
   /** Counts a request that comes from a caller. */
   void countArrival(RequestPlan plan, InboundRequest request) {
     if (!request.fromPeer()) {
--- a/node/src/main/java/io/nutmegseam/node/gateway/TrafficContextFactory.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/TrafficContextFactory.java
@@ -5,6 +5,7 @@
 import io.nutmegseam.core.fleet.Incarnation;
 import io.nutmegseam.node.allotment.Allotments;
 import io.nutmegseam.node.allotment.TenantMetrics;
+import io.nutmegseam.node.body.BodyMemory;
 import io.nutmegseam.node.connection.ServerConnectionPools;
 import io.nutmegseam.node.control.TrafficTimer;
 import io.nutmegseam.node.pace.PaceTracker;
@@ -68,6 +69,7 @@
         clock,
         dependencies.headers(),
         dependencies.state(),
+        BodyMemory.ofHeap(Runtime.getRuntime().maxMemory()),
         pools,
         new ServerChooser(
             settings.dataCentre(),
--- a/node/src/test/java/io/nutmegseam/node/connection/ServerConnectionTest.java
+++ b/node/src/test/java/io/nutmegseam/node/connection/ServerConnectionTest.java
@@ -1,6 +1,7 @@
 package io.nutmegseam.node.connection;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
 
 import com.google.protobuf.ByteString;
 import io.netty.buffer.ByteBuf;
@@ -10,12 +11,15 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import java.lang.ref.WeakReference;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class ServerConnectionTest {
   /**
@@ -120,6 +124,52 @@
     }
   }
 
+  /** Guards against bodies of earlier requests that fill the heap. */
+  @Nested
+  class IdleConnection {
+    private static final String RESPONSE =
+        "HTTP/1.1 200 OK\r\nid: 1\r\nreceipt: r\r\nContent-Length: 0\r\n\r\n";
+
+    private final List<ServerConnection> idle = new ArrayList<>();
+    private final ResponseDecoder decoder = new ResponseDecoder();
+    private final ServerConnection connection =
+        new ServerConnection("id", decoder, idle::add, (kind, subject, detail) -> {});
+    private final EmbeddedChannel channel =
+        new EmbeddedChannel(new HttpRequestEncoder(), decoder, connection);
+
+    @ParameterizedTest
+    @ValueSource(ints = {1_000, 1_000_000})
+    void should_not_keep_the_body_of_its_last_request(int bodyBytes) {
+      // GIVEN
+      WeakReference<ByteString> body = send(ByteString.copyFrom(new byte[bodyBytes]));
+      // WHEN
+      channel.writeInbound(Unpooled.copiedBuffer(RESPONSE, StandardCharsets.UTF_8));
+      // THEN
+      assertThat(idle).containsExactly(connection);
+      await()
+          .until(
+              () -> {
+                System.gc();
+                return body.get() == null;
+              });
+    }
+
+    /** Sends a request and returns a reference to its body when all of it has been written. */
+    private WeakReference<ByteString> send(ByteString body) {
+      connection.send(
+          new ServerConnection.OutboundRequest(
+              HttpMethod.POST, "/", new DefaultHttpHeaders(), body, "1", false),
+          new StatusListener(new ArrayList<>()));
+      int writtenBytes = 0;
+      for (ByteBuf out = channel.readOutbound(); out != null; out = channel.readOutbound()) {
+        writtenBytes += out.readableBytes();
+        out.release();
+      }
+      assertThat(writtenBytes).isGreaterThan(body.size());
+      return new WeakReference<>(body);
+    }
+  }
+
   /** A listener that keeps the status of its response. */
   private record StatusListener(List<Integer> statuses) implements ResponseListener {
     @Override
--- a/node/src/test/java/io/nutmegseam/node/gateway/TestGateway.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/TestGateway.java
@@ -15,6 +15,7 @@
 import io.nutmegseam.core.gateway.ServiceSpec;
 import io.nutmegseam.node.allotment.Allotments;
 import io.nutmegseam.node.allotment.TenantMetrics;
+import io.nutmegseam.node.body.BodyMemory;
 import io.nutmegseam.node.connection.ServerConnectionPools;
 import io.nutmegseam.node.control.ControlThread;
 import io.nutmegseam.node.control.MonotonicClock;
@@ -73,6 +74,9 @@
   private static final int MAX_BODY_BYTES = 64 << 20;
   private static final int READ_TIMEOUT_MILLIS = 4_000;
 
+  /** Memory for request bodies. */
+  static final int BODY_MEMORY_BYTES = 16 << 20;
+
   private final Clock clock = new MonotonicClock();
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
   private final GatewayState state = new GatewayState();
@@ -98,6 +102,7 @@
             clock,
             HEADERS,
             state,
+            new BodyMemory(BODY_MEMORY_BYTES),
             pools,
             new ServerChooser("dc", loads, quotas, new Random(1), clock, paces(clock)),
             new ServerReach(
--- a/node/src/test/java/io/nutmegseam/node/gateway/UnusedPermitTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/UnusedPermitTest.java
@@ -143,6 +143,7 @@
         context.clock(),
         context.headers(),
         context.state(),
+        context.bodies(),
         context.pools(),
         context.chooser(),
         context.reach(),
