Do not resume streams at the version of a server's earlier process

Once an entry of another process and version is listed under the server's id, the version of such a response is not known: nodes neither resume it nor record its origin.

--- a/core/src/main/java/io/nutmegseam/core/fleet/Fleet.java
+++ b/core/src/main/java/io/nutmegseam/core/fleet/Fleet.java
@@ -112,6 +112,17 @@
     return entry != null && entry.incarnation().equals(incarnation);
   }
 
+  /**
+   * Returns whether a server has started again with another software version since an earlier entry
+   * of it. What was sent to it by that entry may have run in either process.
+   */
+  public boolean hasChangedVersion(ServerEntry earlier) {
+    return entry(earlier.incarnation().id())
+        .filter(entry -> !entry.incarnation().equals(earlier.incarnation()))
+        .filter(entry -> !entry.softwareVersion().equals(earlier.softwareVersion()))
+        .isPresent();
+  }
+
   /** Returns the entries of the servers of a service, including those that are draining. */
   public List<ServerEntry> entriesOfService(String service) {
     return entriesByService.getOrDefault(service, List.of());
--- a/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/Exchange.java
@@ -309,7 +309,7 @@
     if (!relay.isStarted()) {
       context.metrics().onFirstByte(log.ageMillis());
       selection.onResponseBegun(attempt.server());
-      if (succeeds && !PeerTargets.isPeer(attempt.server())) {
+      if (succeeds && !PeerTargets.isPeer(attempt.server()) && !selection.isVersionUnknown()) {
         String first = resumption.map(StreamResumption::firstRequest).orElse(id);
         context.origins().onBegun(first, plan, attempt.server());
       }
--- a/node/src/main/java/io/nutmegseam/node/gateway/ServerSelection.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/ServerSelection.java
@@ -35,6 +35,7 @@
   private final int requestBytes;
   private boolean streamBegun;
   private boolean begunAtPeer;
+  private Optional<ServerEntry> begunAt = Optional.empty();
   private int unreachableServers;
 
   /**
@@ -109,6 +110,9 @@
    * request.
    */
   Optional<ServerEntry> choose() {
+    if (isVersionUnknown()) {
+      return Optional.empty();
+    }
     if (begunAtPeer || isCutOff()) {
       return choosePeer();
     }
@@ -206,10 +210,19 @@
     if (begunAtPeer) {
       streamBegun = true;
     } else {
+      begunAt = Optional.of(server);
       requireSoftwareVersion(server.softwareVersion());
     }
   }
 
+  /**
+   * Returns whether the response may have begun at a later process of its server, with another
+   * software version than the entry by which the server was chosen.
+   */
+  boolean isVersionUnknown() {
+    return begunAt.filter(context.state().fleet()::hasChangedVersion).isPresent();
+  }
+
   /** Returns how the request may be sent to a server that is at its limit. */
   SendQuotas.Terms termsFor(ServerEntry server) {
     boolean hasAlternative =
--- a/node/src/test/java/io/nutmegseam/node/gateway/StreamVersionTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/StreamVersionTest.java
@@ -18,7 +18,6 @@
 import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Nested;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -81,7 +80,6 @@
    * before the node has read its new entry.
    */
   @Nested
-  @Tag("known-red")
   class RestartedServer {
     private StubServer restarted;
 
@@ -106,6 +104,40 @@
       }
     }
 
+    // Guards against callers that resume a stream of a restarted server at its earlier version.
+    @Test
+    void should_not_tell_callers_the_version_of_an_earlier_start() throws Exception {
+      try (TestGateway gateway = new TestGateway();
+          StubServer older = server("b", "v1")) {
+        // GIVEN a stream that has begun after the restart and after the new entry was read
+        restarted =
+            new StubServer(
+                "a",
+                head -> {
+                  listRestarted(gateway, older);
+                  return STREAM + "\r\n" + FIRST_EVENT;
+                },
+                ConnectionAction.KEEP);
+        gateway.configureEntries(
+            TestGateway.route(RequestKind.STREAMING, true), List.of(restarted.entry("s")));
+        restarted.withSoftwareVersion("v1.1");
+        try (Socket begun = gateway.connect()) {
+          ResumedByCaller.send(begun, "id: r");
+          ResumedByCaller.readUntil(begun, "data: a\n\n");
+        }
+        // WHEN
+        try (Socket resumed = gateway.connect()) {
+          ResumedByCaller.send(resumed, "id: again\r\nresumes: r\r\nlast: 1");
+          String answer = ResumedByCaller.readUntil(resumed, "\r\n\r\n");
+          // THEN
+          assertThat(answer).startsWith("HTTP/1.1 503");
+        }
+        assertThat(streamsOverTwoVersions(restarted, older)).isEmpty();
+      } finally {
+        restarted.close();
+      }
+    }
+
     private String listRestarted(TestGateway gateway, StubServer older) {
       ServerEntry entry = restarted.entry("s", 2);
       gateway.state().setFleet(new Fleet(Map.of("a", entry, "b", older.entry("s"))));
@@ -211,13 +243,13 @@
       }
     }
 
-    private void send(Socket socket, String headers) throws IOException {
+    private static void send(Socket socket, String headers) throws IOException {
       socket.setSoTimeout(TIMEOUT_MILLIS);
       String text = "POST /p/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n" + headers;
       socket.getOutputStream().write((text + "\r\n\r\n").getBytes(StandardCharsets.UTF_8));
     }
 
-    private String readUntil(Socket socket, String end) throws IOException {
+    private static String readUntil(Socket socket, String end) throws IOException {
       StringBuilder received = new StringBuilder();
       int next = socket.getInputStream().read();
       while (next >= 0) {
