--- a/node/src/main/java/io/nutmegseam/node/body/BodyMemory.java
+++ b/node/src/main/java/io/nutmegseam/node/body/BodyMemory.java
@@ -19,14 +19,14 @@
 
   private final long capacityBytes;
   private final long largeCapacityBytes;
-  private final Deque<Lease> waitingSmall = new ArrayDeque<>();
-  private final Deque<Lease> waitingLarge = new ArrayDeque<>();
-  private final AtomicLong leasedBytes = new AtomicLong();
+  private final Deque<Reservation> waitingSmall = new ArrayDeque<>();
+  private final Deque<Reservation> waitingLarge = new ArrayDeque<>();
+  private final AtomicLong reservedBytes = new AtomicLong();
   private final AtomicInteger waitingCount = new AtomicInteger();
-  private long leasedLargeBytes;
+  private long reservedLargeBytes;
 
   /** The memory of one body. */
-  public final class Lease {
+  public final class Reservation {
     private final Runnable onGranted;
 
     /** The memory that it has, in bytes. */
@@ -37,7 +37,7 @@
 
     private boolean waiting;
 
-    private Lease(Runnable onGranted) {
+    private Reservation(Runnable onGranted) {
       this.onGranted = onGranted;
     }
 
@@ -70,7 +70,7 @@
 
     private void ask(long askedBytes) {
       wantedBytes = askedBytes;
-      Deque<Lease> queue = isLarge(askedBytes) ? waitingLarge : waitingSmall;
+      Deque<Reservation> queue = isLarge(askedBytes) ? waitingLarge : waitingSmall;
       if (queue.isEmpty() && fits(this)) {
         setBytes(wantedBytes);
       } else {
@@ -90,8 +90,8 @@
     }
 
     private void setBytes(long newBytes) {
-      leasedBytes.addAndGet(newBytes - bytes);
-      leasedLargeBytes += largePart(newBytes) - largePart(bytes);
+      reservedBytes.addAndGet(newBytes - bytes);
+      reservedLargeBytes += largePart(newBytes) - largePart(bytes);
       bytes = newBytes;
     }
   }
@@ -116,22 +116,22 @@
   }
 
   /**
-   * Leases memory for a body.
+   * Reserves memory for a body.
    *
    * @param bytes size of the body, in bytes
    * @param onGranted called when memory that was waited for is there; not if it is there at once
    */
-  Lease lease(long bytes, Runnable onGranted) {
-    Lease lease = new Lease(onGranted);
+  Reservation reserve(long bytes, Runnable onGranted) {
+    Reservation reservation = new Reservation(onGranted);
     if (bytes > 0) {
-      lease.ask(bytes);
+      reservation.ask(bytes);
     }
-    return lease;
+    return reservation;
   }
 
   /** Returns the bytes of all bodies that are being received or kept. Thread-safe. */
-  public long leasedBytes() {
-    return leasedBytes.get();
+  public long reservedBytes() {
+    return reservedBytes.get();
   }
 
   /** Returns how many bodies wait for memory. Thread-safe. */
@@ -147,17 +147,18 @@
     return isLarge(bytes) ? bytes : 0;
   }
 
-  private boolean fits(Lease lease) {
+  private boolean fits(Reservation reservation) {
     // One body may exceed the memory of large ones; small ones have theirs all the same.
-    long usedLargeBytes = Math.min(leasedLargeBytes, largeCapacityBytes);
-    long usedBytes = leasedBytes.get() - leasedLargeBytes + usedLargeBytes;
-    boolean enough = usedBytes + lease.wantedBytes - lease.bytes <= capacityBytes;
-    if (!isLarge(lease.wantedBytes)) {
+    long countedLargeBytes = Math.min(reservedLargeBytes, largeCapacityBytes);
+    long usedBytes = reservedBytes.get() - reservedLargeBytes + countedLargeBytes;
+    boolean enough = usedBytes + reservation.wantedBytes - reservation.bytes <= capacityBytes;
+    if (!isLarge(reservation.wantedBytes)) {
       return enough;
     }
     // Without this, bodies that turn out to be large could wait for each other's memory.
-    boolean onlyLarge = leasedLargeBytes == 0;
-    return onlyLarge || (enough && leasedLargeBytes + lease.wantedBytes <= largeCapacityBytes);
+    boolean onlyLarge = reservedLargeBytes == 0;
+    return onlyLarge
+        || (enough && reservedLargeBytes + reservation.wantedBytes <= largeCapacityBytes);
   }
 
   private void grantWaiting() {
@@ -165,12 +166,12 @@
     grantWaiting(waitingLarge);
   }
 
-  private void grantWaiting(Deque<Lease> queue) {
+  private void grantWaiting(Deque<Reservation> queue) {
     while (!queue.isEmpty() && fits(queue.peekFirst())) {
-      Lease lease = queue.peekFirst();
-      lease.stopWaiting();
-      lease.setBytes(lease.wantedBytes);
-      lease.onGranted.run();
+      Reservation reservation = queue.peekFirst();
+      reservation.stopWaiting();
+      reservation.setBytes(reservation.wantedBytes);
+      reservation.onGranted.run();
     }
   }
 }
--- a/node/src/main/java/io/nutmegseam/node/body/BodyReceiver.java
+++ b/node/src/main/java/io/nutmegseam/node/body/BodyReceiver.java
@@ -24,7 +24,7 @@
   private final ChannelHandlerContext connection;
   private final InstantSource clock;
   private final Runnable onExpired;
-  private final BodyMemory.Lease lease;
+  private final BodyMemory.Reservation reservation;
   private ByteString.Output output;
   private ScheduledFuture<?> expiry;
   private boolean continueDue;
@@ -65,9 +65,9 @@
     this.continueDue = HttpUtil.is100ContinueExpected(request);
     long expectedBytes =
         BodyLengths.of(request).orElse(Math.min(limits.maxBytes(), BodyMemory.SMALL_BODY_BYTES));
-    this.lease = memory.lease(expectedBytes, this::onGranted);
+    this.reservation = memory.reserve(expectedBytes, this::onGranted);
     this.output = ByteString.newOutput((int) Math.min(expectedBytes, BodyMemory.SMALL_BODY_BYTES));
-    if (lease.isWaiting()) {
+    if (reservation.isWaiting()) {
       stopReading();
     } else {
       writeContinueIfDue();
@@ -76,7 +76,7 @@
 
   /** Returns whether it waits for memory. */
   public boolean isWaiting() {
-    return lease.isWaiting();
+    return reservation.isWaiting();
   }
 
   /**
@@ -107,8 +107,8 @@
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
-    if (output.size() > lease.bytes() && !isWaiting()) {
-      lease.growTo(limits.maxBytes());
+    if (output.size() > reservation.bytes() && !isWaiting()) {
+      reservation.growTo(limits.maxBytes());
       if (isWaiting()) {
         stopReading();
       }
@@ -116,26 +116,29 @@
     return true;
   }
 
-  /** Returns the complete body. Its memory stays leased until the lease is released. */
+  /** Returns the complete body. Its memory stays reserved until the reservation is released. */
   public ByteString complete() {
-    lease.settle(output.size());
+    reservation.settle(output.size());
     ByteString body = output.toByteString();
     close();
     return body;
   }
 
   /** Returns the memory of the body. */
-  public BodyMemory.Lease lease() {
-    return lease;
+  public BodyMemory.Reservation reservation() {
+    return reservation;
   }
 
   /** Discards what has been received. */
   public void discard() {
-    lease.release();
+    reservation.release();
     close();
   }
 
-  /** Drops the reference to the body: the lease, which refers to this receiver, may live longer. */
+  /**
+   * Drops the reference to the body: the reservation, which refers to this receiver, may live
+   * longer.
+   */
   private void close() {
     output = null;
     startReading();
--- a/node/src/main/java/io/nutmegseam/node/gateway/CallerConnection.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/CallerConnection.java
@@ -51,7 +51,7 @@
   private ChannelHandlerContext channelContext;
   private HttpRequest requestHead;
   private BodyReceiver body;
-  private BodyMemory.Lease bodyInUse;
+  private BodyMemory.Reservation bodyInUse;
   private boolean closing;
   private Optional<RequestException> rejection = Optional.empty();
   private Exchange exchange;
@@ -62,7 +62,7 @@
   private boolean flushScheduled;
 
   /** A complete request with the memory of its body. */
-  private record ReceivedRequest(InboundRequest request, BodyMemory.Lease body) {}
+  private record ReceivedRequest(InboundRequest request, BodyMemory.Reservation body) {}
 
   /**
    * Creates the handler of a connection.
@@ -218,7 +218,7 @@
             body.complete(),
             context.clock().millis() - body.waitedMillis(),
             fromPeer);
-    pipelined.addLast(new ReceivedRequest(request, body.lease()));
+    pipelined.addLast(new ReceivedRequest(request, body.reservation()));
     body = null;
     requestHead = null;
     if (pipelined.size() > MAX_PIPELINED) {
--- a/node/src/main/java/io/nutmegseam/node/gateway/NodeGauges.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/NodeGauges.java
@@ -41,7 +41,8 @@
         "servers_reached",
         "Whether this node reaches servers: 2 for most, 1 for less than half, 0 for none",
         () -> reach.reach().level());
-    metrics.registerGauge("body_bytes", "Memory of request bodies, in bytes", bodies::leasedBytes);
+    metrics.registerGauge(
+        "body_bytes", "Memory of request bodies, in bytes", bodies::reservedBytes);
     metrics.registerGauge(
         "waiting_bodies", "Request bodies that wait for memory", bodies::waitingCount);
     metrics.registerCounter("log_dropped", "Log lines dropped", events::droppedCount);
--- a/node/src/test/java/io/nutmegseam/node/body/BodyMemoryTest.java
+++ b/node/src/test/java/io/nutmegseam/node/body/BodyMemoryTest.java
@@ -20,12 +20,12 @@
 
   private final List<String> granted = new ArrayList<>();
 
-  private BodyMemory.Lease lease(String name, long bytes) {
-    return memory.lease(bytes, () -> granted.add(name));
+  private BodyMemory.Reservation reserve(String name, long bytes) {
+    return memory.reserve(bytes, () -> granted.add(name));
   }
 
-  private List<BodyMemory.Lease> fillWithLargeBodies() {
-    return List.of(lease("a", LARGE_BYTES), lease("b", LARGE_BYTES), lease("c", LARGE_BYTES));
+  private List<BodyMemory.Reservation> fillWithLargeBodies() {
+    return List.of(reserve("a", LARGE_BYTES), reserve("b", LARGE_BYTES), reserve("c", LARGE_BYTES));
   }
 
   /** Guards against payments that wait while others upload. */
@@ -34,23 +34,23 @@
     @Test
     void should_not_wait_behind_large_ones() {
       fillWithLargeBodies();
-      assertThat(lease("large", LARGE_BYTES).isWaiting()).isTrue();
-      assertThat(lease("small", SMALL_BYTES).isWaiting()).isFalse();
+      assertThat(reserve("large", LARGE_BYTES).isWaiting()).isTrue();
+      assertThat(reserve("small", SMALL_BYTES).isWaiting()).isFalse();
     }
 
     @Test
     void should_not_wait_for_a_body_that_exceeds_the_memory() {
-      lease("large", 9 * LARGE_BYTES);
-      assertThat(lease("small", SMALL_BYTES).isWaiting()).isFalse();
+      reserve("large", 9 * LARGE_BYTES);
+      assertThat(reserve("small", SMALL_BYTES).isWaiting()).isFalse();
     }
 
     @Test
     void should_wait_when_the_memory_is_full() {
       for (int i = 0; i < 41; i++) {
-        assertThat(lease("small", SMALL_BYTES).isWaiting()).isFalse();
+        assertThat(reserve("small", SMALL_BYTES).isWaiting()).isFalse();
       }
-      assertThat(lease("small", SMALL_BYTES).isWaiting()).isTrue();
-      assertThat(lease("empty", 0).isWaiting()).isFalse();
+      assertThat(reserve("small", SMALL_BYTES).isWaiting()).isTrue();
+      assertThat(reserve("empty", 0).isWaiting()).isFalse();
     }
   }
 
@@ -58,9 +58,9 @@
   class LargeBodies {
     @Test
     void should_be_granted_in_order() {
-      List<BodyMemory.Lease> first = fillWithLargeBodies();
-      BodyMemory.Lease next = lease("d", LARGE_BYTES);
-      BodyMemory.Lease last = lease("e", LARGE_BYTES);
+      List<BodyMemory.Reservation> first = fillWithLargeBodies();
+      BodyMemory.Reservation next = reserve("d", LARGE_BYTES);
+      BodyMemory.Reservation last = reserve("e", LARGE_BYTES);
       // WHEN
       first.get(1).release();
       // THEN
@@ -71,21 +71,21 @@
 
     @Test
     void should_use_what_a_smaller_body_leaves() {
-      List<BodyMemory.Lease> first = fillWithLargeBodies();
-      lease("d", LARGE_BYTES);
+      List<BodyMemory.Reservation> first = fillWithLargeBodies();
+      reserve("d", LARGE_BYTES);
       first.get(0).settle(SMALL_BYTES);
       assertThat(granted).containsExactly("d");
-      assertThat(memory.leasedBytes()).isEqualTo(3 * LARGE_BYTES + SMALL_BYTES);
+      assertThat(memory.reservedBytes()).isEqualTo(3 * LARGE_BYTES + SMALL_BYTES);
     }
 
     @Test
     void should_leave_the_queue_when_they_are_given_up() {
-      List<BodyMemory.Lease> first = fillWithLargeBodies();
-      lease("d", LARGE_BYTES).release();
+      List<BodyMemory.Reservation> first = fillWithLargeBodies();
+      reserve("d", LARGE_BYTES).release();
       first.get(0).release();
       assertThat(granted).isEmpty();
       assertThat(memory.waitingCount()).isZero();
-      assertThat(memory.leasedBytes()).isEqualTo(2 * LARGE_BYTES);
+      assertThat(memory.reservedBytes()).isEqualTo(2 * LARGE_BYTES);
     }
   }
 
@@ -94,25 +94,26 @@
   void should_receive_every_body_in_the_end(
       @ForAll long seed, @ForAll @IntRange(min = 1, max = 200) int bodies) {
     Random random = new Random(seed);
-    List<BodyMemory.Lease> leases = new ArrayList<>();
+    List<BodyMemory.Reservation> reservations = new ArrayList<>();
     for (int i = 0; i < bodies; i++) {
       boolean growing = random.nextInt(3) == 0;
       long bytes = growing ? BodyMemory.SMALL_BODY_BYTES : random.nextLong(2 * LARGE_BYTES);
-      BodyMemory.Lease lease = lease("body", bytes);
-      leases.add(lease);
-      if (growing && !lease.isWaiting()) {
-        lease.growTo(2 * LARGE_BYTES);
+      BodyMemory.Reservation reservation = reserve("body", bytes);
+      reservations.add(reservation);
+      if (growing && !reservation.isWaiting()) {
+        reservation.growTo(2 * LARGE_BYTES);
       }
     }
-    while (!leases.isEmpty()) {
-      assertThat(memory.leasedBytes()).isLessThanOrEqualTo(6 * LARGE_BYTES);
-      List<BodyMemory.Lease> ready = leases.stream().filter(lease -> !lease.isWaiting()).toList();
+    while (!reservations.isEmpty()) {
+      assertThat(memory.reservedBytes()).isLessThanOrEqualTo(6 * LARGE_BYTES);
+      List<BodyMemory.Reservation> ready =
+          reservations.stream().filter(reservation -> !reservation.isWaiting()).toList();
       assertThat(ready).isNotEmpty();
-      BodyMemory.Lease ended = ready.get(random.nextInt(ready.size()));
+      BodyMemory.Reservation ended = ready.get(random.nextInt(ready.size()));
       ended.release();
-      leases.remove(ended);
+      reservations.remove(ended);
     }
-    assertThat(memory.leasedBytes()).isZero();
+    assertThat(memory.reservedBytes()).isZero();
     assertThat(memory.waitingCount()).isZero();
   }
 }
--- a/node/src/test/java/io/nutmegseam/node/body/BodyReceiverTest.java
+++ b/node/src/test/java/io/nutmegseam/node/body/BodyReceiverTest.java
@@ -148,11 +148,11 @@
     }
 
     @Test
-    void should_lease_no_more_than_its_size_when_it_is_complete() {
+    void should_reserve_no_more_than_its_size_when_it_is_complete() {
       BodyReceiver chunked = receive("Transfer-Encoding", "chunked");
       chunked.add(part);
       assertThat(chunked.complete().size()).isEqualTo(PART_BYTES);
-      assertThat(memory.leasedBytes()).isEqualTo(PART_BYTES);
+      assertThat(memory.reservedBytes()).isEqualTo(PART_BYTES);
     }
 
     @Test
@@ -172,7 +172,7 @@
     void should_not_keep_it() {
       // GIVEN
       BodyReceiver first = receive(BodyMemory.SMALL_BODY_BYTES);
-      while (memory.leasedBytes() < MAX_BYTES) {
+      while (memory.reservedBytes() < MAX_BYTES) {
         receive(BodyMemory.SMALL_BODY_BYTES);
       }
       BodyReceiver receiver = receive(PART_BYTES);
@@ -188,7 +188,7 @@
                 return body.get() == null;
               });
       // THEN
-      assertThat(receiver.lease().isWaiting()).isFalse();
+      assertThat(receiver.reservation().isWaiting()).isFalse();
     }
   }
 }
--- a/node/src/test/java/io/nutmegseam/node/gateway/LargeBodyTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/LargeBodyTest.java
@@ -91,7 +91,7 @@
         begin("u" + i, contentLength(BODY_BYTES));
       }
       await().until(() -> gateway.context().bodies().waitingCount() > 0);
-      assertThat(gateway.context().bodies().leasedBytes())
+      assertThat(gateway.context().bodies().reservedBytes())
           .isLessThanOrEqualTo(TestGateway.BODY_MEMORY_BYTES);
       // WHEN
       String received = gateway.call("POST", "small", "");
@@ -106,7 +106,7 @@
         assertThat(statusOf(upload)).isEqualTo("HTTP/1.1 200 OK");
       }
       assertThat(server.requestHeads()).hasSize(UPLOADS + 1);
-      await().until(() -> gateway.context().bodies().leasedBytes() == 0);
+      await().until(() -> gateway.context().bodies().reservedBytes() == 0);
     }
 
     @Test
@@ -121,7 +121,7 @@
         upload.close();
       }
       // THEN
-      await().until(() -> gateway.context().bodies().leasedBytes() == 0);
+      await().until(() -> gateway.context().bodies().reservedBytes() == 0);
       assertThat(gateway.context().bodies().waitingCount()).isZero();
     }
   }
@@ -168,7 +168,7 @@
       await()
           .until(
               () ->
-                  gateway.context().bodies().leasedBytes()
+                  gateway.context().bodies().reservedBytes()
                       == (long) UPLOADS_AT_A_TIME * BODY_BYTES);
       // WHEN
       Socket last = begin("last", contentLength(BODY_BYTES));
