Tell nodes which of their requests was rejected before it was received

A request of another node that is rejected at its head, or waits for memory in vain, got a response without its id, so that the sender took it for a late response to another request. It names the id, and that the request did not run. LargeBodyTest$FromAnotherNode failed without the id.

--- a/node/src/main/java/io/nutmegseam/node/body/BodyReceiver.java
+++ b/node/src/main/java/io/nutmegseam/node/body/BodyReceiver.java
@@ -88,11 +88,15 @@
   }
 
   /**
-   * Returns for how long the caller has sent nothing although the connection is read from, in
-   * milliseconds.
+   * Closes the connection of a caller that has sent nothing for some time although the connection
+   * is read from.
+   *
+   * @param limitMillis that time, in milliseconds
    */
-  public long stalledMillis() {
-    return isWaiting() ? 0 : clock.millis() - progressMillis;
+  public void closeIfStalled(long limitMillis) {
+    if (!isWaiting() && clock.millis() - progressMillis >= limitMillis) {
+      connection.close();
+    }
   }
 
   /** Adds content, which it copies; returns false if the body is larger than the maximum. */
--- a/node/src/main/java/io/nutmegseam/node/gateway/CallerConnection.java
+++ b/node/src/main/java/io/nutmegseam/node/gateway/CallerConnection.java
@@ -54,6 +54,7 @@
   private BodyMemory.Reservation bodyInUse;
   private boolean closing;
   private Optional<RequestException> rejection = Optional.empty();
+  private String rejectedId = "";
   private Exchange exchange;
   private boolean keepAlive;
   private boolean responseHasBody;
@@ -141,16 +142,10 @@
       // A caller that has read nothing for two idle times gets no more of its response.
       closeIfWithoutRequest();
     }
-    if (event instanceof IdleStateEvent && body != null) {
-      closeIfStalled();
-    }
-  }
-
-  /** Closes the connection of a caller that does not go on with a body, which takes up memory. */
-  private void closeIfStalled() {
     boolean responding = exchange != null || !pipelined.isEmpty() || unsentResponses > 0;
-    if (!responding && body.stalledMillis() >= context.gatewayLimits().idleTimeoutMillis()) {
-      channelContext.close();
+    if (event instanceof IdleStateEvent && body != null && !responding) {
+      // The memory of a body that does not go on is needed for others.
+      body.closeIfStalled(context.gatewayLimits().idleTimeoutMillis());
     }
   }
 
@@ -185,12 +180,12 @@
       reject(GatewayErrors.malformed("the request target is not valid UTF-8"));
       return;
     }
+    requestHead = request.setUri(target.get());
     int maxBytes = context.gatewayLimits().maxBodyBytes();
     if (BodyLengths.of(request).orElse(0) > maxBytes) {
       reject(GatewayErrors.bodyTooLarge(maxBytes));
       return;
     }
-    requestHead = request.setUri(target.get());
     body =
         new BodyReceiver(
             request,
@@ -239,7 +234,7 @@
         !HttpHeaderValues.CLOSE.contentEqualsIgnoreCase(
             request.headers().get(HttpHeaderNames.CONNECTION, ""));
     responseHasBody = !request.method().name().equals("HEAD");
-    requestId = request.headers().get(context.headers().requestId(), "");
+    requestId = idOf(request.headers());
     inFlightChange.accept(1);
     exchange = new Exchange(context, request, this, this::onExchangeDone);
     exchange.start();
@@ -255,6 +250,10 @@
     }
   }
 
+  private String idOf(HttpHeaders headers) {
+    return headers.get(context.headers().requestId(), "");
+  }
+
   private void startNextIfIdle() {
     if (exchange == null && !closing) {
       startNext();
@@ -268,6 +267,7 @@
    */
   private void reject(RequestException error) {
     rejection = Optional.of(error);
+    rejectedId = requestHead == null ? "" : idOf(requestHead.headers());
     discardBody();
     requestHead = null;
     writeRejectionIfDue();
@@ -277,7 +277,7 @@
     if (rejection.isPresent() && exchange == null && pipelined.isEmpty() && !closing) {
       keepAlive = false;
       responseHasBody = true;
-      requestId = "";
+      requestId = rejectedId;
       writeError(rejection.get());
     }
   }
--- a/node/src/test/java/io/nutmegseam/node/body/BodyReceiverTest.java
+++ b/node/src/test/java/io/nutmegseam/node/body/BodyReceiverTest.java
@@ -81,7 +81,8 @@
       assertThat(second.isWaiting()).isFalse();
       assertThat(channel.config().isAutoRead()).isTrue();
       assertThat(second.waitedMillis()).isEqualTo(300);
-      assertThat(second.stalledMillis()).isZero();
+      second.closeIfStalled(300);
+      assertThat(channel.isOpen()).isTrue();
     }
 
     @Test
@@ -97,7 +98,8 @@
       first.discard();
       advance(2 * MAX_WAIT_MILLIS);
       assertThat(expirations).isZero();
-      assertThat(second.stalledMillis()).isEqualTo(2 * MAX_WAIT_MILLIS);
+      second.closeIfStalled(2 * MAX_WAIT_MILLIS);
+      assertThat(channel.isOpen()).isFalse();
     }
 
     @Test
--- a/node/src/test/java/io/nutmegseam/node/gateway/LargeBodyTest.java
+++ b/node/src/test/java/io/nutmegseam/node/gateway/LargeBodyTest.java
@@ -3,7 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.awaitility.Awaitility.await;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.nutmegseam.core.fleet.Incarnation;
 import io.nutmegseam.core.fleet.Inventory;
 import io.nutmegseam.core.fleet.ServerEntry;
@@ -184,6 +189,30 @@
     }
   }
 
+  @Nested
+  class FromAnotherNode {
+    /** Guards against nodes that take a request for lost which another one has not received. */
+    @Test
+    void should_be_told_that_the_request_did_not_run() throws Exception {
+      // GIVEN
+      EmbeddedChannel channel =
+          new EmbeddedChannel(
+              new HttpRequestDecoder(),
+              new HttpResponseEncoder(),
+              new CallerConnection(gateway.context(), change -> {}, true));
+      // WHEN
+      channel.writeInbound(
+          Unpooled.copiedBuffer(head("r", contentLength(99_000_000)), StandardCharsets.US_ASCII));
+      // THEN
+      ByteBuf response = channel.readOutbound();
+      assertThat(response.toString(StandardCharsets.US_ASCII))
+          .startsWith("HTTP/1.1 413")
+          .contains("\r\nid: r\r\n", "\r\nnot-run: body-too-large\r\n");
+      response.release();
+      channel.finishAndReleaseAll();
+    }
+  }
+
   @Nested
   class Sending {
     @Test
@@ -227,15 +256,14 @@
     Socket socket = gateway.connect();
     socket.setSoTimeout(10_000);
     uploads.add(socket);
-    socket
-        .getOutputStream()
-        .write(
-            "POST /p/x HTTP/1.1\r\nHost: h\r\nid: %s\r\n%s\r\n"
-                .formatted(id, headers)
-                .getBytes(StandardCharsets.US_ASCII));
+    socket.getOutputStream().write(head(id, headers).getBytes(StandardCharsets.US_ASCII));
     return socket;
   }
 
+  private static String head(String id, String headers) {
+    return "POST /p/x HTTP/1.1\r\nHost: h\r\nid: %s\r\n%s\r\n".formatted(id, headers);
+  }
+
   private static String contentLength(int bytes) {
     return "Content-Length: %d\r\n".formatted(bytes);
   }
