--- a/node/src/test/java/io/nutmegseam/node/body/BodyMemoryTest.java
+++ b/node/src/test/java/io/nutmegseam/node/body/BodyMemoryTest.java
@@ -15,7 +15,7 @@
   private static final long LARGE_BYTES = 1 << 20;
   private static final long SMALL_BYTES = 100_000;
 
-  /** Room for three large bodies, and as much again as one for small ones. */
+  /** Memory for three large bodies, and that of a further one for small ones. */
   private final BodyMemory memory = new BodyMemory(4 * LARGE_BYTES);
 
   private final List<String> granted = new ArrayList<>();
