--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -8,7 +8,7 @@
 trap 'rm -rf "$files"' EXIT
 timeout -k 5 110 java -Xmx128m -Djava.io.tmpdir="$files" \
   -cp "$root/target/review-3:$root/target/nutmegseam.jar" \
-  UnframedCase "$root" "$folder" "${TROUBLE:-1}"
+  AdapterCase "$root" "$folder" "${TROUBLE:-1}"
 status=$?
 case "$status" in
   0 | 1) exit "$status" ;;
