--- a/review/standin-3/ReclaimCase.java
+++ b/review/standin-3/ReclaimCase.java
@@ -24,13 +24,16 @@
 public final class ReclaimCase {
   private static final ObjectMapper JSON = new ObjectMapper();
   private static final int SERVERS = 7;
-  private static final int EVENTS = 30;
+  private static final int EVENTS = 45;
   private static final long CHECK_IN_MILLIS = 1_200;
-  private static final long CALM_MILLIS = 9_000;
-  private static final long DRAIN_MILLIS = 2_000;
+  private static final long CALM_MILLIS = 12_000;
+
+  /** A draining server serves for drainMs (2,000) and a little longer. */
+  private static final long SERVING_MILLIS = 2_100;
+
   private static final long NOTICE_MILLIS = 2_500;
   private static final long DEADLINE_MILLIS = 15_000;
-  private static final int CALLERS = 28;
+  private static final int CALLERS = 42;
 
   private final Record record;
   private final StoreStandin store;
@@ -103,7 +106,7 @@
         int port = gateways.all().get(i % 2).callerPort;
         daemon(
             () -> {
-              sleep(caller * 200L);
+              sleep(caller * 215L);
               while (!ended.get()) {
                 call(port);
                 sleep(100);
@@ -155,9 +158,9 @@
       server.remainingMillis = NOTICE_MILLIS;
       checkIn(server);
     }
-    sleepUntil(noticeNanos, DRAIN_MILLIS);
+    sleepUntil(noticeNanos, SERVING_MILLIS);
     record.add(
-        "server %s has served for drainMs; it stops listening, closes its idle channels and finishes what it runs"
+        "server %s has served for drainMs and 0.1 s; it stops listening, closes its idle channels and finishes what it runs"
             .formatted(server.id));
     server.tell("CLOSE");
     sleepUntil(noticeNanos, NOTICE_MILLIS);
--- a/review/standin-3/RestartCase.java
+++ b/review/standin-3/RestartCase.java
@@ -34,7 +34,7 @@
   private static final long FIRST_CHECK_IN_MILLIS = 1_000;
 
   private static final long DEADLINE_MILLIS = 15_000;
-  private static final int CALLERS = 24;
+  private static final int CALLERS = 36;
   private static final int MAX_TRIES = 4;
   private static final long RETRY_MILLIS = 400;
   private static final int MAX_MIXED_STREAMS = 2;
@@ -105,7 +105,7 @@
         int caller = i;
         daemon(
             () -> {
-              sleep(caller * 250L);
+              sleep(caller * 160L);
               while (!ended.get()) {
                 read(gateways, caller % 2);
                 sleep(100);
