--- a/review/standin-3/ModelServer.java
+++ b/review/standin-3/ModelServer.java
@@ -293,7 +293,12 @@
     String adapter = ref.substring(ref.indexOf('/') + 1);
     String run;
     synchronized (this) {
-      if (!ref.startsWith(model + "/") || !loaded.contains(adapter) || unloading.contains(adapter)) {
+      if (unloading.contains(adapter)) {
+        // The order concerns the request, which has not started.
+        out.write(Wire.response(503, "Not-Run: 1\r\n" + echoed, ""));
+        return;
+      }
+      if (!ref.startsWith(model + "/") || !loaded.contains(adapter)) {
         out.write(Wire.response(421, "Not-Run: 1\r\n" + echoed, ""));
         return;
       }
--- a/review/standin-3/RestartCase.java
+++ b/review/standin-3/RestartCase.java
@@ -34,7 +34,8 @@
   private static final long FIRST_CHECK_IN_MILLIS = 1_000;
 
   private static final long DEADLINE_MILLIS = 15_000;
-  private static final int CALLERS = 36;
+  private static final int SERVERS = 6;
+  private static final int CALLERS = 60;
   private static final int MAX_TRIES = 4;
   private static final long RETRY_MILLIS = 400;
   private static final int MAX_MIXED_STREAMS = 2;
@@ -85,7 +86,7 @@
 
   private int run(Path root, Path folder, boolean trouble) throws Exception {
     store.put("op", "config", config());
-    for (int i = 0; i < 3; i++) {
+    for (int i = 0; i < SERVERS; i++) {
       Server server = new Server("i-" + i);
       servers.add(server);
       start(server, i == 0 ? "v1" : "v2", 0, folder);
@@ -105,7 +106,7 @@
         int caller = i;
         daemon(
             () -> {
-              sleep(caller * 160L);
+              sleep(caller * 100L);
               while (!ended.get()) {
                 read(gateways, caller % 2);
                 sleep(100);
